--- /dev/null
+++ b/stoatgw/__main__.py
@@ -0,0 +1,112 @@
+"""The real proxy: wires the parts, handles signals. `python -m stoatgw` with LB_CONFIG set."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import resource
+import signal
+import sys
+
+import uvloop
+
+from stoatgw.backends.backend import Backends
+from stoatgw.backends.probe import Columns, Prober
+from stoatgw.clients.house import House
+from stoatgw.clients.listener import Listener
+from stoatgw.config.deployment import ConfigError, Deployment, load
+from stoatgw.director.director import Director
+from stoatgw.director.list import ListReader
+from stoatgw.owner.clock import Clock
+from stoatgw.owner.messages import Drain
+from stoatgw.owner.owner import Owner
+from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import EventLog
+
+DRAIN_LEAST_S, DRAIN_MOST_S = 1.0, 2.4  # newcomers come for 0.4 s more; killed after 2.7 s at the soonest
+
+
+class Backstage:
+    """The backends' side as the owner sees it."""
+
+    def __init__(self, backends: Backends, prober: Prober, director: Director) -> None:
+        self._backends, self._prober, self._director = backends, prober, director
+
+    def probe(self, server: str) -> None:
+        backend = self._backends.get(server)
+        if backend is not None:
+            self._prober.probe(backend)
+
+    def close_idle(self, server: str) -> None:
+        self._prober.close(server)
+
+    def fetch_list(self) -> None:
+        self._director.tell_all()
+
+
+async def serve(deployment: Deployment) -> None:
+    loop, clock = asyncio.get_running_loop(), Clock()
+    log, counters, backends = EventLog(deployment.name), Counters(), Backends()
+    settings = deployment.settings
+    owner = Owner(settings, deployment.seed, clock, log, counters)
+    columns = Columns(settings.report_columns)
+    prober = Prober(owner, clock, columns, deployment.dial_timeout_us, counters)
+    director = Director(
+        deployment.discovery,
+        ListReader(deployment.zones, deployment.kinds),
+        backends,
+        owner,
+        clock,
+        lambda backend: prober.close(backend.name),
+        log,
+        counters,
+    )
+    house = House(deployment, owner, backends, clock, columns.row, counters, log)
+    listener = Listener(house)
+    stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGINT, stopped.set)
+    loop.add_signal_handler(
+        signal.SIGUSR1, lambda: log.event("counters", open=listener.open, reqs=owner.open, **counters.all())
+    )
+    director.known(deployment.known)
+    owner.start(Backstage(backends, prober, director))
+    listener.bind(deployment.listen)
+    tasks = [loop.create_task(run()) for run in (owner.run, director.run, listener.run, listener.watch)]
+    log.event("ready", listen=f"{deployment.listen.host}:{deployment.listen.port}")
+    stop = loop.create_task(stopped.wait())
+    await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        if task.done():  # none of them ends by itself
+            log.event("task_ended", error=repr(task.exception()))
+    log.event("draining", open=listener.open)
+    house.draining = True
+    owner.put(Drain())
+    began = clock.now_us()
+    while (passed := (clock.now_us() - began) / 1e6) < DRAIN_MOST_S:
+        if passed >= DRAIN_LEAST_S and not listener.open:
+            break
+        await asyncio.sleep(0.02)
+    log.event("stopped", open=listener.open, reqs=owner.open, **counters.all())
+
+
+def main() -> int:
+    path = os.environ.get("LB_CONFIG")
+    try:
+        if not path:
+            raise ConfigError("LB_CONFIG: not set")
+        deployment = load(path)
+    except ConfigError as fault:
+        print(f"stoatgw: {fault}", file=sys.stderr)
+        return 2
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = deployment.sockets if hard == resource.RLIM_INFINITY else min(deployment.sockets, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+    gc.freeze()
+    uvloop.run(serve(deployment))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/stoatgw/backends/backend.py
@@ -0,0 +1,53 @@
+"""Backends: the session servers that the list has named, and where they are."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from stoatgw.decisions.interface import Lifecycle, ServerEntry
+
+GRACE_GUARD_US = 100_000  # a first byte leaves so long before the drain grace ends, at the latest
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    name: str
+    host: str
+    port: int
+    leaving_us: int | None = None  # when this proxy was told that it drains or is gone
+
+    def may_send(self, now_us: int, grace_us: int) -> bool:
+        return self.leaving_us is None or now_us < self.leaving_us + grace_us - GRACE_GUARD_US
+
+
+class Backends:
+    """All backends by name. One that is gone is kept: connections may stand on it still."""
+
+    def __init__(self) -> None:
+        self._backends: dict[str, Backend] = {}
+
+    def get(self, name: str) -> Backend | None:
+        return self._backends.get(name)
+
+    def listed(
+        self, rows: Iterable[tuple[ServerEntry, str, int]], whole: bool, now_us: int
+    ) -> list[Backend]:
+        """Take news of the list; gives the backends that are leaving since."""
+        left: list[Backend] = []
+        seen = set()
+        for entry, host, port in rows:
+            seen.add(entry.server)
+            backend = self._backends.setdefault(entry.server, Backend(entry.server, host, port))
+            backend.host, backend.port = host, port
+            if entry.lifecycle is Lifecycle.ON:
+                backend.leaving_us = None
+            elif backend.leaving_us is None:
+                backend.leaving_us = now_us
+                left.append(backend)
+        if whole:
+            for backend in self._backends.values():
+                if backend.name not in seen and backend.leaving_us is None:
+                    backend.leaving_us = now_us
+                    left.append(backend)
+        return left
--- /dev/null
+++ b/stoatgw/backends/fetch.py
@@ -0,0 +1,118 @@
+"""One fetch: a connection to a backend for one client. Its end is a value, never an exception."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from stoatgw.backends.backend import Backend
+from stoatgw.decisions.interface import Status
+from stoatgw.lines.grammar import Reply, Word, read_reply
+from stoatgw.lines.splitter import Splitter
+from stoatgw.owner.clock import Clock
+from stoatgw.owner.messages import FetchEnd, Stage
+from stoatgw.sockets import calls
+
+BUFFER = 8192
+REFUSALS = {
+    Word.BYE: Status.DELIVERED,
+    Word.MOVE: Status.REVOKED,
+    Word.BUSY: Status.SHED,
+    Word.ERR: Status.APP_ERROR,
+}
+Row = Callable[[dict[str, float]], tuple[float | None, ...]]
+
+
+class Listener(Protocol):
+    """The client's side of a standing connection."""
+
+    def heard(self, replies: list[Reply]) -> None: ...
+
+    def pass_on(self, data: bytes) -> Awaitable[None]: ...
+
+
+class Fetch:
+    def __init__(self, backend: Backend, clock: Clock, dial_us: int, grace_us: int, row: Row) -> None:
+        self._backend, self._clock, self._row = backend, clock, row
+        self._dial_us, self._grace_us = dial_us, grace_us
+        self._sock = calls.make()
+        self._buffer = bytearray(BUFFER)
+        self._splitter = Splitter()
+        self._last = Word.OTHER
+        self.stage = Stage.CONNECTING
+        self.receipt = b""  # the UP line and what came with it, as it came
+        self.reset = False  # the backend ended with a reset
+
+    async def open(self, line: Callable[[int], bytes], cut_at_us: int) -> FetchEnd | None:
+        """Connect, send the line, wait for UP. None: it is up."""
+        loop = asyncio.get_running_loop()
+        try:
+            wait_us = cut_at_us - self._clock.now_us()
+            async with asyncio.timeout(min(self._dial_us, wait_us) / 1e6):
+                await loop.sock_connect(self._sock, (self._backend.host, self._backend.port))
+            now_us = self._clock.now_us()
+            # Guards the drain rule: connecting may have outlasted the grace.
+            if not self._backend.may_send(now_us, self._grace_us):
+                return self._end(Status.DIAL_FAILED, "it left meanwhile")
+            if now_us >= cut_at_us:
+                return self._end(Status.DIAL_FAILED, "no time left")
+            self.stage = Stage.SENDING
+            async with asyncio.timeout((cut_at_us - now_us) / 1e6):
+                await loop.sock_sendall(self._sock, line((cut_at_us - now_us) // 1000))
+                self.stage = Stage.SENT
+                return await self._first(loop)
+        except TimeoutError:
+            status = Status.EXPIRED if self.stage is Stage.SENT else Status.DIAL_FAILED
+            return self._end(status, "timed out")
+        except OSError as error:
+            # A line that was not wholly written never ran.
+            status = Status.DROPPED if self.stage is Stage.SENT else Status.DIAL_FAILED
+            return self._end(status, str(error))
+
+    async def _first(self, loop: asyncio.AbstractEventLoop) -> FetchEnd | None:
+        while True:
+            count = await loop.sock_recv_into(self._sock, self._buffer)
+            if not count:
+                return self._end(Status.DROPPED, "ended without a word")
+            data = bytes(memoryview(self._buffer)[:count])
+            self.receipt += data
+            lines = self._splitter.feed(data)
+            if lines:
+                reply = read_reply(lines[0])
+                if reply.word is Word.UP:
+                    self.stage = Stage.UP
+                    for later in lines[1:]:
+                        self._last = read_reply(later).word
+                    return None
+                status = REFUSALS.get(reply.word, Status.APP_ERROR)
+                return self._end(status, lines[0][:60].decode("ascii", "replace"), reply.report)
+            if self._splitter.overlong:
+                return self._end(Status.APP_ERROR, "overlong line")
+
+    async def relay(self, listener: Listener) -> FetchEnd:
+        """Pass all on until the backend ends the connection."""
+        loop = asyncio.get_running_loop()
+        try:
+            while count := await loop.sock_recv_into(self._sock, self._buffer):
+                data = bytes(memoryview(self._buffer)[:count])
+                replies = [read_reply(line) for line in self._splitter.feed(data)]
+                if replies:
+                    self._last = replies[-1].word
+                    listener.heard(replies)
+                await listener.pass_on(data)
+        except OSError as error:
+            self.reset = True
+            if self._last not in (Word.BYE, Word.MOVE):
+                return self._end(Status.DROPPED, str(error))
+        ended = {Word.BYE: Status.DELIVERED, Word.MOVE: Status.REVOKED}
+        return self._end(ended.get(self._last, Status.DROPPED), "ended by the backend")
+
+    async def send(self, data: bytes) -> None:
+        await asyncio.get_running_loop().sock_sendall(self._sock, data)
+
+    def close(self, *, reset: bool = False) -> None:
+        calls.close(self._sock, reset=reset)
+
+    def _end(self, status: Status, why: str, report: dict[str, float] | None = None) -> FetchEnd:
+        return FetchEnd(status, self.stage, why, self._row(report) if report else ())
--- /dev/null
+++ b/stoatgw/backends/probe.py
@@ -0,0 +1,119 @@
+"""Probes: STATS on a kept connection to each backend."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from stoatgw.backends.backend import Backend
+from stoatgw.decisions.interface import Status
+from stoatgw.lines.grammar import STATS, Reply, Word, read_reply
+from stoatgw.lines.splitter import Splitter
+from stoatgw.owner.clock import Clock
+from stoatgw.owner.messages import Probed
+from stoatgw.owner.owner import Owner
+from stoatgw.sockets import calls
+from stoatgw.telemetry.counters import Counters
+
+TIME_LIMIT_S = 0.5
+# The fields on sockets, by the names that the settings give the same columns.
+FIELDS = {
+    "outstanding": "inflight",
+    "backlog": "queue",
+    "utilization": "util",
+    "recent_ms": "latency_ms",
+    "throughput": "qps",
+    "errors_per_s": "eps",
+}
+
+
+class Columns:
+    """A report by name, put in the order of the settings' columns."""
+
+    def __init__(self, columns: tuple[str, ...]) -> None:
+        self._names = [(column, FIELDS.get(column, column)) for column in columns]
+
+    def row(self, report: dict[str, float]) -> tuple[float | None, ...]:
+        return tuple(report.get(field, report.get(column)) for column, field in self._names)
+
+
+class Prober:
+    def __init__(
+        self, owner: Owner, clock: Clock, columns: Columns, dial_us: int, counters: Counters
+    ) -> None:
+        self._owner, self._clock, self._columns = owner, clock, columns
+        self._dial_s, self._counters = dial_us / 1e6, counters
+        self._kept: dict[str, socket.socket] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def probe(self, backend: Backend) -> None:
+        running = self._tasks.get(backend.name)
+        if running is not None and not running.done():
+            return  # one at a time: its result is this one's too
+        task = asyncio.get_running_loop().create_task(self._probe(backend))
+        self._tasks[backend.name] = task
+
+    def close(self, name: str) -> None:
+        """Give back what is kept; a probe under way ends with a failure."""
+        task = self._tasks.pop(name, None)
+        if task is not None and not task.done():
+            task.cancel()
+        sock = self._kept.pop(name, None)
+        if sock is not None:
+            calls.close(sock)
+
+    async def _probe(self, backend: Backend) -> None:
+        began_us = self._clock.now_us()
+        status, row = Status.DIAL_FAILED, tuple[float | None, ...]()
+        sock = self._kept.pop(backend.name, None)
+        try:
+            async with asyncio.timeout(TIME_LIMIT_S):
+                if sock is not None and _ended(sock):
+                    calls.close(sock)
+                    sock = None
+                if sock is None:
+                    sock = calls.make()
+                    await self._connect(sock, backend)
+                status = Status.DROPPED
+                reply = await self._ask(sock)
+            status = Status.DELIVERED if reply.word is Word.PONG else Status.APP_ERROR
+            row = self._columns.row(reply.report) if reply.rest else ()
+            if reply.word is Word.PONG and backend.leaving_us is None:
+                self._kept[backend.name], sock = sock, None
+        except TimeoutError:
+            status = Status.DIAL_FAILED if status is Status.DIAL_FAILED else Status.EXPIRED
+        except OSError:
+            pass
+        finally:
+            if sock is not None:
+                calls.close(sock)
+            self._counters.add(f"probes_{status.value}")
+            self._owner.put(Probed(backend.name, status, self._clock.now_us() - began_us, row))
+
+    async def _connect(self, sock: socket.socket, backend: Backend) -> None:
+        async with asyncio.timeout(self._dial_s):
+            await asyncio.get_running_loop().sock_connect(sock, (backend.host, backend.port))
+
+    async def _ask(self, sock: socket.socket) -> Reply:
+        loop, splitter, buffer = asyncio.get_running_loop(), Splitter(), bytearray(4096)
+        await loop.sock_sendall(sock, STATS + b"\r\n")
+        while True:
+            count = await loop.sock_recv_into(sock, buffer)
+            if not count:
+                raise ConnectionError("ended without a word")
+            lines = splitter.feed(memoryview(buffer)[:count])
+            if lines:
+                return read_reply(lines[0])
+            if splitter.overlong:
+                raise ConnectionError("overlong line")
+
+
+def _ended(sock: socket.socket) -> bool:
+    """Whether a kept connection was closed, or holds bytes that answer nothing we asked."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
--- /dev/null
+++ b/stoatgw/clients/house.py
@@ -0,0 +1,70 @@
+"""What all client sessions of a proxy share."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from stoatgw.backends.backend import Backends
+from stoatgw.backends.delays import Messages
+from stoatgw.config.deployment import Deployment
+from stoatgw.owner.clock import Clock
+from stoatgw.owner.messages import Req
+from stoatgw.owner.owner import Owner
+from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import EventLog
+
+IDS_KEPT = 65_536
+
+
+class RecentIds:
+    """The ids seen lately: an id is new for every connection, so one that comes again is not forwarded."""
+
+    def __init__(self, most: int = IDS_KEPT) -> None:
+        self._most, self._order, self._seen = most, deque[str](), set[str]()
+
+    def fresh(self, name: str) -> bool:
+        if name in self._seen:
+            return False
+        self._seen.add(name)
+        self._order.append(name)
+        if len(self._order) > self._most:
+            self._seen.discard(self._order.popleft())
+        return True
+
+
+@dataclass(slots=True, eq=False)
+class Standing:
+    """A connection that is up, as the watch over message times sees it."""
+
+    req: Req
+    server: str
+    messages: Messages
+    give_up: Callable[[], None]
+
+
+@dataclass(slots=True, eq=False)
+class House:
+    deployment: Deployment
+    owner: Owner
+    backends: Backends
+    clock: Clock
+    row: Callable[[dict[str, float]], tuple[float | None, ...]]
+    counters: Counters
+    log: EventLog
+    ids: RecentIds = field(default_factory=RecentIds)
+    standing: dict[str, Standing] = field(default_factory=dict)
+    draining: bool = False
+    classes: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.classes = {
+            profile.name: index for index, profile in enumerate(self.deployment.settings.profiles)
+        }
+
+    def by_server(self) -> Iterator[tuple[str, list[Standing]]]:
+        servers: dict[str, list[Standing]] = {}
+        for standing in self.standing.values():
+            servers.setdefault(standing.server, []).append(standing)
+        yield from servers.items()
--- /dev/null
+++ b/stoatgw/clients/listener.py
@@ -0,0 +1,100 @@
+"""Takes client connections in, and watches over the message times of those that stand."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from stoatgw.backends.delays import latest_ms
+from stoatgw.clients.house import House
+from stoatgw.clients.session import ClientSession
+from stoatgw.config.deployment import Address
+from stoatgw.decisions.interface import NoteKind
+from stoatgw.lines.grammar import busy
+from stoatgw.owner.messages import Heard
+from stoatgw.sockets import calls
+
+BACKLOG = 4096
+PAUSE_S = 0.02  # after a failed accept, such as one for want of descriptors
+DESCRIPTORS_KEPT = 64  # for the listener, discovery, probes and the log
+WATCH_S, UNANSWERED_US = 0.25, 5_000_000
+DELAY_PART = 3  # message delays are told from a third of the shortest aim on
+
+
+class Listener:
+    def __init__(self, house: House) -> None:
+        self._house = house
+        self._sock: socket.socket | None = None
+        self._sessions: set[asyncio.Task[None]] = set()
+        self._most = max(1, (house.deployment.sockets - DESCRIPTORS_KEPT) // 2)
+        aims = [profile.message_aim_us for profile in house.deployment.settings.profiles]
+        self._tell_ms = min(aims) / 1000 / DELAY_PART
+        self._told: set[str] = set()
+
+    @property
+    def open(self) -> int:
+        return len(self._sessions)
+
+    def bind(self, address: Address) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((address.host, address.port))
+        sock.listen(BACKLOG)
+        self._sock = sock
+
+    async def run(self) -> None:
+        loop, house = asyncio.get_running_loop(), self._house
+        if self._sock is None:
+            return
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(self._sock)
+            except OSError as fault:
+                # EMFILE, ECONNABORTED and their like: what is open serves on.
+                house.counters.add("accept_failures")
+                house.log.event("accept_failed", error=str(fault))
+                await asyncio.sleep(PAUSE_S)
+                continue
+            house.counters.add("connections")
+            try:
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            except OSError:
+                calls.close(sock)
+                continue
+            if len(self._sessions) >= self._most:
+                house.counters.add("connections_over_limit")
+                task = loop.create_task(calls.close_after(sock, busy(0), 0.2))
+            else:
+                task = loop.create_task(ClientSession(sock, house).run())
+            self._sessions.add(task)
+            task.add_done_callback(self._sessions.discard)
+
+    async def watch(self) -> None:
+        """Tell message delays once a second; give up connections that bring nothing back."""
+        turn = 0
+        while True:
+            await asyncio.sleep(WATCH_S)
+            turn += 1
+            now_us = self._house.clock.now_us()
+            for standing in list(self._house.standing.values()):
+                if standing.messages.overdue_us(now_us) > UNANSWERED_US:
+                    self._house.counters.add("sessions_unanswered")
+                    standing.messages.asked.clear()
+                    standing.give_up()
+            if self._house.deployment.tells_delay and turn % round(1 / WATCH_S) == 0:
+                self._tell_delays(now_us)
+
+    def _tell_delays(self, now_us: int) -> None:
+        """While a backend's delay is over a third of the shortest aim, and once when it is back under."""
+        told = set()
+        for server, standing in self._house.by_server():
+            delay_ms = latest_ms((each.messages for each in standing), now_us)
+            late = delay_ms > self._tell_ms
+            if late:
+                told.add(server)
+                self._house.counters.add("delays_told")
+            if late or server in self._told:
+                self._house.owner.put(Heard(standing[0].req, NoteKind.DELAY, delay_ms))
+        self._told = told
--- /dev/null
+++ b/stoatgw/clients/session.py
@@ -0,0 +1,367 @@
+"""One client session: from the accepted connection to its end. Exceptions stop here."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass
+from enum import Enum
+
+from stoatgw.backends.backend import Backend
+from stoatgw.backends.delays import Messages
+from stoatgw.backends.fetch import BUFFER, Fetch
+from stoatgw.clients.house import House, Standing
+from stoatgw.decisions.interface import NoteKind, Request, Status
+from stoatgw.lines.grammar import (
+    MOVE,
+    PING,
+    PONG,
+    Malformed,
+    Open,
+    Reply,
+    Word,
+    busy,
+    error,
+    read_number,
+    read_open,
+)
+from stoatgw.lines.splitter import Splitter
+from stoatgw.owner.messages import (
+    Arrived,
+    ClientLeft,
+    FetchEnd,
+    FetchEnded,
+    FetchUp,
+    Heard,
+    Req,
+    Stage,
+    Stood,
+)
+from stoatgw.sockets import calls
+
+SILENT_S = 10.0  # a client that sends no whole line for so long is let go
+EARLY_CAP = 65_536  # bytes kept that a client sends before it is up
+BOUNDARY_S = 0.5  # a MOVE waits so long for the end of a line under way
+RESTORE_S, RESTORE_DIAL_US, RESTORE_PAUSE_S = 39.0, 2_000_000, 0.1
+UNTIMED = (Word.LOAD, Word.MOVE, Word.BYE)  # lines that answer no line of the client
+
+
+class Cause(Enum):
+    """What ended a session."""
+
+    ANSWERED = "answered"
+    CLIENT_LEFT = "client_left"
+    BACKEND_ENDED = "backend_ended"
+    MOVED = "moved"
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    cause: Cause
+    line: bytes = b""
+    reset: bool = False
+
+
+class ClientSession:
+    def __init__(self, sock: socket.socket, house: House) -> None:
+        self._sock, self._house = sock, house
+        self._buffer = bytearray(BUFFER)
+        self._splitter = Splitter()
+        self._end: asyncio.Future[End] = asyncio.get_running_loop().create_future()
+        self._req: Req | None = None
+        self._open: Open | None = None
+        self._early = bytearray()
+        self._fetch: Fetch | None = None  # the one that is up
+        self._fetching: asyncio.Task[None] | None = None
+        self._messages = Messages()
+        self._between_lines = True  # on the way to the client
+        self._move_asked = False
+        self._given_up = Status.REVOKED
+
+    async def run(self) -> None:
+        counters = self._house.counters
+        try:
+            line = await self._first_line()
+            if line is None:
+                calls.close(self._sock)
+                return
+            end = await self._serve(line)
+            counters.add(f"sessions_{end.cause.value}")
+            if end.reset:
+                calls.close(self._sock, reset=True)
+            else:
+                await calls.close_after(self._sock, end.line)
+        except OSError:
+            counters.add("sessions_broken")
+            calls.close(self._sock)
+        except Exception as fault:
+            counters.add("session_faults")
+            self._house.log.event("session_fault", error=repr(fault))
+            calls.close(self._sock)
+        finally:
+            calls.close(self._sock)
+
+    async def _first_line(self) -> bytes | None:
+        """The first line that is no PING; None if the client leaves or says nothing."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(SILENT_S):
+                while True:
+                    count = await loop.sock_recv_into(self._sock, self._buffer)
+                    if not count:
+                        return None
+                    lines = self._splitter.feed(memoryview(self._buffer)[:count])
+                    while lines and lines[0] == PING:
+                        self._house.counters.add("pings")
+                        await loop.sock_sendall(
+                            self._sock, busy(0) if self._house.draining else PONG + b"\r\n"
+                        )
+                        lines = lines[1:]
+                    if lines:
+                        for later in lines[1:]:
+                            self._early += later + b"\r\n"
+                        self._early += self._splitter.rest
+                        return lines[0]
+                    if self._splitter.overlong:
+                        return b""
+        except TimeoutError:
+            self._house.counters.add("clients_silent")
+            return None
+
+    async def _serve(self, line: bytes) -> End:
+        opened = read_open(line) if not self._splitter.overlong else Malformed("the line is too long")
+        if isinstance(opened, Open) and opened.profile not in self._house.classes:
+            opened = Malformed("class is unknown")
+        if isinstance(opened, Open) and not self._house.ids.fresh(opened.request):
+            opened = Malformed("the id came before")
+        if isinstance(opened, Malformed):
+            self._house.counters.add("requests_malformed")
+            return End(Cause.ANSWERED, error(opened.why))
+        self._open = opened
+        loop, owner = asyncio.get_running_loop(), self._house.owner
+        req = self._req = self._ask(opened)
+        reader = loop.create_task(self._read_client())
+        if opened.at is not None:
+            self._house.counters.add("requests_standing")
+            self._fetching = loop.create_task(self._restore(req, opened, opened.at))
+        else:
+            self._house.counters.add("requests")
+            owner.put(Arrived(req))
+        try:
+            end = await asyncio.shield(self._end)
+        finally:
+            # A socket may be closed only once no task waits on it.
+            await _stop(reader)
+            if self._fetching is not None:
+                if not self._end.done() or self._end.result().cause is Cause.CLIENT_LEFT:
+                    owner.put(ClientLeft(req))
+                await _stop(self._fetching)
+            elif not self._end.done() or self._end.result().cause is Cause.CLIENT_LEFT:
+                owner.put(ClientLeft(req))
+        return end
+
+    def _ask(self, opened: Open) -> Req:
+        now_us = self._house.clock.now_us()
+        asked = Request(
+            request=opened.request,
+            profile=self._house.classes[opened.profile],
+            patience_left_us=opened.wait_ms * 1000,
+            key=opened.key,
+            group=opened.group if self._house.deployment.settings.groups else None,
+            hint_us=opened.hint,
+            hint_valid=opened.hint is not None,
+            client_retry=opened.retry,
+            returned=opened.again,
+        )
+        return Req(asked, now_us + opened.wait_ms * 1000, self)
+
+    def _finish(self, end: End) -> None:
+        if not self._end.done():
+            self._end.set_result(end)
+
+    # The owner's side: see Door.
+
+    def fetch(self, attempt: int, server: str, cut_at_us: int) -> None:
+        req = self._req
+        if req is None:
+            return
+        self._fetching = asyncio.get_running_loop().create_task(
+            self._run_fetch(req, attempt, server, cut_at_us, self._fetching)
+        )
+        # A task that is cancelled before its first step runs no code of its own: its end is told all the
+        # same, and the owner passes over the second telling.
+        given_up = FetchEnded(req, attempt, FetchEnd(Status.REVOKED, Stage.CONNECTING, "never begun"))
+        self._fetching.add_done_callback(lambda _: self._house.owner.put(given_up))
+
+    def cancel(self, attempt: int) -> None:
+        if self._fetching is not None:
+            self._fetching.cancel()
+
+    def refuse(self, retry_after_us: int) -> None:
+        self._finish(End(Cause.ANSWERED, busy(retry_after_us)))
+
+    def fail(self) -> None:
+        self._finish(End(Cause.ANSWERED, error("failed")))
+
+    def move(self) -> None:
+        """Send the client away, between two lines."""
+        self._move_asked = True
+        if self._between_lines:
+            self._finish(End(Cause.MOVED, MOVE + b"\r\n"))
+        else:
+            # Guards against a backend that stops in the middle of a line.
+            asyncio.get_running_loop().call_later(BOUNDARY_S, self._finish, End(Cause.MOVED))
+
+    def give_up(self) -> None:
+        """The backend answers nothing any more: its client is better off elsewhere."""
+        self._given_up = Status.DROPPED
+        self.move()
+
+    # The backend's side.
+
+    async def _run_fetch(
+        self, req: Req, attempt: int, server: str, cut_at_us: int, before: asyncio.Task[None] | None
+    ) -> None:
+        house, end, fetch = self._house, FetchEnd(Status.REVOKED, Stage.CONNECTING, "given up"), None
+        try:
+            if before is not None:
+                await asyncio.wait([before])  # never two at a time
+            backend, opened = house.backends.get(server), self._open
+            if backend is None or opened is None:
+                end = FetchEnd(Status.DIAL_FAILED, Stage.CONNECTING, "no such backend")
+                return
+            fetch = self._make_fetch(backend, house.deployment.dial_timeout_us)
+            ended = await fetch.open(opened.forwarded, cut_at_us)
+            if ended is None:
+                house.owner.put(FetchUp(req, attempt))
+                ended = await self._stand(req, fetch, server)
+            end = ended
+        except asyncio.CancelledError:
+            end = FetchEnd(self._given_up, fetch.stage if fetch else Stage.CONNECTING, "given up")
+            raise
+        except Exception as fault:
+            end = FetchEnd(Status.DROPPED, fetch.stage if fetch else Stage.CONNECTING, repr(fault))
+            house.counters.add("fetch_faults")
+            house.log.event("fetch_fault", error=repr(fault))
+        finally:
+            self._close(req, fetch)
+            if end.status not in (Status.DELIVERED, Status.REVOKED):
+                house.log.event(
+                    "fetch_ended", id=req.asked.request, backend=server, status=end.status.value,
+                    stage=end.stage.value, why=end.why,
+                )  # fmt: skip
+            house.owner.put(FetchEnded(req, attempt, end))
+            if end.stage is Stage.UP:
+                self._finish(End(Cause.BACKEND_ENDED, reset=fetch is not None and fetch.reset))
+
+    async def _restore(self, req: Req, opened: Open, server: str) -> None:
+        """A connection that stood before: back to its backend, also where the list or the backend is late."""
+        house, loop = self._house, asyncio.get_running_loop()
+        until_us = house.clock.now_us() + int(RESTORE_S * 1e6)
+        end: FetchEnd | None = FetchEnd(Status.DIAL_FAILED, Stage.CONNECTING, "not listed")
+        fetch: Fetch | None = None
+        stood = False
+        try:
+            while house.clock.now_us() < until_us:
+                backend = house.backends.get(server)
+                if backend is not None:
+                    fetch = self._make_fetch(backend, RESTORE_DIAL_US)
+                    end = await fetch.open(lambda _: opened.line + b"\r\n", until_us)
+                    if end is None:
+                        stood = True
+                        house.owner.put(Stood(req, server))
+                        end = await self._stand(req, fetch, server)
+                        break
+                    self._close(req, fetch)
+                    if end.status not in (Status.DIAL_FAILED, Status.SHED):
+                        break  # it may have run: not again
+                await asyncio.sleep(RESTORE_PAUSE_S)
+        except asyncio.CancelledError:
+            end = FetchEnd(self._given_up, Stage.UP, "given up")
+            raise
+        except Exception as fault:
+            house.counters.add("fetch_faults")
+            house.log.event("fetch_fault", error=repr(fault))
+        finally:
+            self._close(req, fetch)
+            if stood:
+                owner_end = end or FetchEnd(Status.DROPPED, Stage.UP, "fault")
+                house.owner.put(FetchEnded(req, 0, owner_end))
+                self._finish(End(Cause.BACKEND_ENDED, reset=fetch is not None and fetch.reset))
+            else:
+                house.counters.add("standing_lost")
+                house.log.event("standing_lost", id=opened.request, why=end.why if end else "fault")
+                loop.call_soon(self.fail)
+
+    def _make_fetch(self, backend: Backend, dial_us: int) -> Fetch:
+        house = self._house
+        grace_us = house.deployment.settings.drain_grace_us
+        return Fetch(backend, house.clock, dial_us, grace_us, house.row)
+
+    async def _stand(self, req: Req, fetch: Fetch, server: str) -> FetchEnd:
+        """Up: pass UP on, then all lines both ways until the backend ends."""
+        house = self._house
+        house.counters.add("answers_up")
+        house.standing[req.asked.request] = Standing(req, server, self._messages, self.give_up)
+        await self.pass_on(fetch.receipt)
+        if self._early:
+            self._messages.ask(self._early.count(b"\n"), house.clock.now_us())
+            await fetch.send(bytes(self._early))
+            self._early.clear()
+        self._fetch = fetch
+        return await fetch.relay(self)
+
+    def _close(self, req: Req, fetch: Fetch | None) -> None:
+        self._fetch = None
+        self._house.standing.pop(req.asked.request, None)
+        if fetch is not None:
+            fetch.close(reset=self._end.done() and self._end.result().reset)
+
+    def heard(self, replies: list[Reply]) -> None:
+        now_us, house = self._house.clock.now_us(), self._house
+        house.counters.add("lines_from_backends", len(replies))
+        for reply in replies:
+            if reply.word is Word.LOAD and self._req is not None:
+                value = read_number(reply.rest)
+                if value is not None:
+                    house.owner.put(Heard(self._req, NoteKind.LOAD, value))
+            elif reply.word not in UNTIMED:
+                self._messages.answer(now_us)
+
+    async def pass_on(self, data: bytes) -> None:
+        self._between_lines = False
+        await asyncio.get_running_loop().sock_sendall(self._sock, data)
+        self._between_lines = data.endswith(b"\n")
+        if self._move_asked and self._between_lines:
+            self._finish(End(Cause.MOVED, MOVE + b"\r\n"))
+
+    # The client's side.
+
+    async def _read_client(self) -> None:
+        loop, house = asyncio.get_running_loop(), self._house
+        try:
+            while count := await loop.sock_recv_into(self._sock, self._buffer):
+                data = bytes(memoryview(self._buffer)[:count])
+                if self._fetch is None:
+                    self._early += data
+                    if len(self._early) > EARLY_CAP:
+                        raise ConnectionError("too much before UP")
+                    continue
+                lines = data.count(b"\n")
+                house.counters.add("lines_from_clients", lines)
+                self._messages.ask(lines, house.clock.now_us())
+                try:
+                    await self._fetch.send(data)
+                except OSError:
+                    # The backend's last lines may still be on their way to the client.
+                    await asyncio.sleep(BOUNDARY_S)
+                    self._finish(End(Cause.BACKEND_ENDED, reset=True))
+                    return
+            self._finish(End(Cause.CLIENT_LEFT))
+        except OSError as fault:
+            self._finish(End(Cause.CLIENT_LEFT, reset=isinstance(fault, ConnectionResetError)))
+
+
+async def _stop(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.wait([task])
--- a/saffrondrift/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -1,4 +1,4 @@
-"""Every decision of saffrondrift; its types, events and actions are in `saffrondrift/interface.py`.
+"""Every decision of stoatgw; its types, events and actions are in `stoatgw/decisions/interface.py`.
 
 One `Balancer` is one balancer instance: `handle` takes an event with the time and gives actions.
 docs/design.md has the rule: a ready server passes while r * (n + 1) is under the margin.
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from saffrondrift import interface as api
-from saffrondrift.interface import Idempotency, KeyScope, Lifecycle, ListKind, NoteKind, Status
-from saffrondrift.records import Connection, Fleet, Own, Server
+from stoatgw.decisions import interface as api
+from stoatgw.decisions.interface import Idempotency, KeyScope, Lifecycle, ListKind, NoteKind, Status
+from stoatgw.decisions.records import Connection, Fleet, Own, Server
 
 PERIOD_US = 1_000_000  # one lookback period
 LOOKBACK = 20  # periods in the mean r (the paper's lambda); older samples no longer count
--- a/saffrondrift/records.py
+++ b/stoatgw/decisions/records.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from saffrondrift.interface import Request, ServerEntry
+from stoatgw.decisions.interface import Request, ServerEntry
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/stoatgw/director/director.py
@@ -0,0 +1,135 @@
+"""The director: keeps the list of backends, from the last copy known and then from discovery's watch."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from stoatgw.backends.backend import Backend, Backends
+from stoatgw.config.deployment import Address
+from stoatgw.decisions.interface import Lifecycle, ListKind, ListUpdate, ServerEntry
+from stoatgw.director.http import HttpError, HttpLines
+from stoatgw.director.list import ListError, ListReader, Page
+from stoatgw.owner.clock import Clock
+from stoatgw.owner.messages import Listed
+from stoatgw.owner.owner import Owner
+from stoatgw.sockets import calls
+from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import EventLog
+
+SILENT_S = 6.0  # a watch brings a line every 2 s: one that is silent for so long is dead
+BACKOFF_S = (0.1, 0.2, 0.4, 0.8, 1.0)
+CONNECT_S = 1.0
+
+
+class Director:
+    def __init__(
+        self,
+        address: Address,
+        reader: ListReader,
+        backends: Backends,
+        owner: Owner,
+        clock: Clock,
+        left: Callable[[Backend], None],
+        log: EventLog,
+        counters: Counters,
+    ) -> None:
+        self._address, self._reader, self._backends = address, reader, backends
+        self._owner, self._clock, self._left = owner, clock, left
+        self._log, self._counters = log, counters
+        self._entries: dict[str, ServerEntry] = {}
+        self._version: int | None = None
+
+    def known(self, data: Any) -> None:
+        """Take the last copy, which may be old."""
+        if data is not None:
+            self._read(data, ListKind.DISK)
+
+    def tell_all(self) -> None:
+        """Tell the owner the whole list once more."""
+        self._owner.put(
+            Listed(ListUpdate(ListKind.SNAPSHOT, self._version or 0, tuple(self._entries.values())))
+        )
+
+    async def run(self) -> None:
+        failures = 0
+        while True:
+            try:
+                if await self._watch():
+                    failures = 0
+            except (OSError, TimeoutError, HttpError) as error:
+                self._counters.add("watch_failures")
+                self._log.event("watch_lost", error=repr(error))
+            except Exception as error:
+                self._counters.add("watch_faults")
+                self._log.event("watch_fault", error=repr(error))
+            await asyncio.sleep(BACKOFF_S[min(failures, len(BACKOFF_S) - 1)])
+            failures += 1
+
+    async def _watch(self) -> bool:
+        """One watch until it ends; whether it brought anything."""
+        loop, http, buffer, heard = asyncio.get_running_loop(), HttpLines(), bytearray(65536), False
+        after = "" if self._version is None else f"&after={self._version}"
+        sock = calls.make()
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                await loop.sock_connect(sock, (self._address.host, self._address.port))
+                target = f"GET /v1/endpoints?watch=1{after} HTTP/1.1\r\n"
+                host = f"Host: {self._address.host}:{self._address.port}\r\n\r\n"
+                await loop.sock_sendall(sock, (target + host).encode())
+            while not http.done:
+                async with asyncio.timeout(SILENT_S):
+                    count = await loop.sock_recv_into(sock, buffer)
+                if not count:
+                    break
+                for line in http.feed(bytes(memoryview(buffer)[:count])):
+                    heard = True
+                    # A missed change could break the drain rule: after a bad object, ask for it anew.
+                    if line.strip() and not self._object(line):
+                        return False
+        finally:
+            calls.close(sock)
+        return heard
+
+    def _object(self, line: bytes) -> bool:
+        try:
+            data = orjson.loads(line)
+        except orjson.JSONDecodeError as error:
+            return self._bad(str(error))
+        return self._read(data, ListKind.DIFF)
+
+    def _read(self, data: Any, kind: ListKind) -> bool:
+        """Whether the object was good; a bad one changes nothing, the last list is kept."""
+        try:
+            page = self._reader.page(data)
+        except ListError as error:
+            return self._bad(str(error))
+        if kind is ListKind.DIFF and page.whole:
+            kind = ListKind.SNAPSHOT
+        self._take(page, kind)
+        return True
+
+    def _bad(self, why: str) -> bool:
+        self._counters.add("list_objects_bad")
+        self._log.event("list_object_bad", why=why[:200])
+        return False
+
+    def _take(self, page: Page, kind: ListKind) -> None:
+        self._counters.add("list_objects")
+        whole = kind is not ListKind.DIFF
+        entries = tuple(entry for entry, _, _ in page.rows)
+        if whole:
+            self._entries = {}
+        for entry in entries:
+            self._entries[entry.server] = entry
+            if entry.lifecycle is Lifecycle.OFF:
+                del self._entries[entry.server]
+        self._version = page.version
+        for backend in self._backends.listed(page.rows, whole, self._clock.now_us()):
+            self._left(backend)
+        if entries or whole:
+            self._log.event("list", kind=kind.value, version=page.version, entries=len(entries))
+            self._owner.put(Listed(ListUpdate(kind, page.version, entries)))
--- /dev/null
+++ b/stoatgw/lines/grammar.py
@@ -0,0 +1,149 @@
+"""The words of the line protocol: OPEN from clients, replies from session servers. No sockets."""
+
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass
+from enum import Enum
+
+PING, PONG, STATS, MOVE = b"PING", b"PONG", b"STATS", b"MOVE"
+NUMBER_MAX = 2**53
+
+_ID = re.compile(rb"[0-9a-fA-F]{16}\Z")
+_HEX = re.compile(rb"[0-9a-fA-F]{1,16}\Z")
+_NAME = re.compile(rb"[A-Za-z_][A-Za-z0-9_.-]*\Z")
+_DIGITS = re.compile(rb"[0-9]{1,15}\Z")
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """A line that cannot be read, and why."""
+
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """A client's first line."""
+
+    line: bytes
+    request: str
+    key: int
+    profile: str
+    wait_ms: int
+    group: int | None
+    hint: float | None
+    retry: bool
+    again: bool
+    at: str | None
+
+    def forwarded(self, wait_ms: int) -> bytes:
+        """The line for a session server: the client's own, but for `d`."""
+        head, space, fields = self.line.rpartition(b" ")
+        parts = [b"d=%d" % wait_ms if part.startswith(b"d=") else part for part in fields.split(b",")]
+        return head + space + b",".join(parts) + b"\r\n"
+
+
+def read_open(line: bytes) -> Open | Malformed:
+    """Read `OPEN id key name=value,...`; unknown names are passed over."""
+    words = line.split(b" ")
+    if words[0] != b"OPEN" or len(words) != 4:
+        return Malformed("not an OPEN line")
+    _, request, key, rest = words
+    if not _ID.match(request) or not _HEX.match(key):
+        return Malformed("id or key is not hex")
+    fields: dict[bytes, bytes] = {}
+    for part in rest.split(b","):
+        name, found, value = part.partition(b"=")
+        if not found or not _NAME.match(name) or not value or name in fields:
+            return Malformed("a field is no name=value, or comes twice")
+        fields[name] = value
+    try:
+        text = {name.decode("ascii"): value.decode("ascii") for name, value in fields.items()}
+    except UnicodeDecodeError:
+        return Malformed("a field is not ASCII")
+    if not line.isascii() or not all(32 <= byte < 127 for byte in line):
+        return Malformed("the line holds control characters")
+    if "c" not in text or not _DIGITS.match(fields.get(b"d", b"")):
+        return Malformed("field c or d is missing or no number")
+    if b"g" in fields and not _HEX.match(fields[b"g"]):
+        return Malformed("field g is not hex")
+    hint = read_number(text["h"]) if "h" in text else None
+    if "h" in text and hint is None:
+        return Malformed("field h is no number")
+    if any(text.get(flag, "0") not in ("0", "1") for flag in ("r", "again")):
+        return Malformed("field r or again is neither 0 nor 1")
+    return Open(
+        line=line,
+        request=request.decode("ascii"),
+        key=int(key, 16),
+        profile=text["c"],
+        wait_ms=int(text["d"]),
+        group=int(text["g"], 16) if "g" in text else None,
+        hint=hint,
+        retry=text.get("r") == "1",
+        again=text.get("again") == "1",
+        at=text.get("at"),
+    )
+
+
+def read_number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) and abs(value) < NUMBER_MAX else None
+
+
+class Word(Enum):
+    """What a line of a session server says."""
+
+    UP = "UP"
+    BYE = "BYE"
+    MOVE = "MOVE"
+    ERR = "ERR"
+    BUSY = "BUSY"
+    PONG = "PONG"
+    LOAD = "LOAD"
+    OTHER = ""
+
+
+WORDS = {word.value.encode(): word for word in Word if word.value}
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A line of a session server: its first word, and what follows."""
+
+    word: Word
+    rest: str = ""
+
+    @property
+    def report(self) -> dict[str, float]:
+        return read_report(self.rest)
+
+
+def read_reply(line: bytes) -> Reply:
+    word, _, rest = line.partition(b" ")
+    return Reply(WORDS.get(word, Word.OTHER), rest.decode("ascii", "replace"))
+
+
+def read_report(text: str) -> dict[str, float]:
+    """`inflight=7,util=0.61`; what is no number is left out."""
+    report: dict[str, float] = {}
+    for part in text.split(","):
+        name, found, number = part.strip().partition("=")
+        value = read_number(number) if found else None
+        if name and value is not None:
+            report[name] = value
+    return report
+
+
+def busy(retry_after_us: int) -> bytes:
+    """The refusal, with its advice in whole milliseconds."""
+    return b"BUSY %d\r\n" % -(-retry_after_us // 1000) if retry_after_us > 0 else b"BUSY\r\n"
+
+
+def error(why: str) -> bytes:
+    return b"ERR " + why.encode("ascii", "replace") + b"\r\n"
--- /dev/null
+++ b/stoatgw/owner/messages.py
@@ -0,0 +1,146 @@
+"""What passes between the owner of the decisions and the sockets. No line protocol here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from stoatgw.decisions.interface import ListUpdate, NoteKind, Request, Status
+
+
+class Stage(Enum):
+    """How far a fetch had come; it decides whether the req may have run."""
+
+    CONNECTING = "connecting"
+    SENDING = "sending"
+    SENT = "sent"
+    UP = "up"
+
+
+@dataclass(frozen=True, slots=True)
+class FetchEnd:
+    """How a fetch ended, as a value: its status, how far it had come, and why."""
+
+    status: Status
+    stage: Stage
+    why: str = ""
+    report: tuple[float | None, ...] = ()
+
+
+class Door(Protocol):
+    """The client's side of a req: where its fetches start and its answer goes."""
+
+    def fetch(self, attempt: int, server: str, cut_at_us: int) -> None: ...
+
+    def cancel(self, attempt: int) -> None: ...
+
+    def refuse(self, retry_after_us: int) -> None: ...
+
+    def fail(self) -> None: ...
+
+    def move(self) -> None: ...
+
+
+class Fleet(Protocol):
+    """The backends' side: probes and the list."""
+
+    def probe(self, server: str) -> None: ...
+
+    def close_idle(self, server: str) -> None: ...
+
+    def fetch_list(self) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Req:
+    """A client's request and where it stands; only the owner changes it after its arrival."""
+
+    asked: Request
+    deadline_us: int
+    door: Door
+    attempts: int = 0
+    out: int | None = None  # number of the fetch that is out
+    server: str = ""
+    sent_us: int = 0
+    up: bool = False
+    answered: bool = False  # final answer given, or nobody waits for it
+    orphan: bool = False  # the decisions lost it in a fault
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    req: Req
+
+
+@dataclass(frozen=True, slots=True)
+class Stood:
+    """A connection that stood before the start is up again at its server."""
+
+    req: Req
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class FetchUp:
+    req: Req
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class FetchEnded:
+    req: Req
+    attempt: int
+    end: FetchEnd
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    req: Req
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """News of a standing connection: its load, or how long a message takes."""
+
+    req: Req
+    kind: NoteKind
+    value: float
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    update: ListUpdate
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    server: str
+    status: Status
+    spent_us: int
+    report: tuple[float | None, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Due:
+    token: int
+    at_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Overdue:
+    """The client's time is up: an answer is owed now, whatever the decisions say."""
+
+    req: Req
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """The proxy is asked to stop."""
+
+    over_us: int = field(default=1_200_000)
+
+
+Message = (
+    Arrived | Stood | FetchUp | FetchEnded | ClientLeft | Heard | Listed | Probed | Due | Overdue | Drain
+)
--- /dev/null
+++ b/stoatgw/owner/owner.py
@@ -0,0 +1,278 @@
+"""The one task that owns the decisions. All else reaches them through its inbox.
+
+It does for the module what the simulator does there: numbers attempts, clips cut times to the client's
+time, tells which outcome is final, and hands the actions on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections import deque
+from collections.abc import Iterable
+
+from stoatgw.decisions.balancer import Balancer
+from stoatgw.decisions.interface import (
+    Action,
+    Begun,
+    Cancel,
+    ClientGone,
+    CloseIdle,
+    Event,
+    Existing,
+    Fail,
+    FetchList,
+    Idempotency,
+    ListUpdate,
+    Log,
+    Move,
+    Note,
+    Outcome,
+    Probe,
+    ProbeResult,
+    Refuse,
+    Send,
+    SetTimer,
+    Settings,
+    Status,
+    TimerDue,
+)
+from stoatgw.owner.clock import Clock
+from stoatgw.owner.messages import (
+    Arrived,
+    ClientLeft,
+    Drain,
+    Due,
+    FetchEnd,
+    FetchEnded,
+    FetchUp,
+    Fleet,
+    Heard,
+    Listed,
+    Message,
+    Overdue,
+    Probed,
+    Req,
+    Stood,
+)
+from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import EventLog
+
+
+class Owner:
+    def __init__(
+        self, settings: Settings, seed: int, clock: Clock, log: EventLog, counters: Counters
+    ) -> None:
+        self._settings, self._seed, self._clock = settings, seed, clock
+        self._log, self._counters = log, counters
+        self._inbox: deque[Message] = deque()
+        self._wake = asyncio.Event()
+        self._reqs: dict[str, Req] = {}
+        self._balancer = Balancer(settings, seed)
+        self._lists: dict[str, ListUpdate] = {}
+        self._draining = False
+        self._fleet: Fleet | None = None
+        self._now_us = 0
+
+    @property
+    def open(self) -> int:
+        """How many reqs are known: none may be left behind."""
+        return len(self._reqs)
+
+    def put(self, message: Message) -> None:
+        self._inbox.append(message)
+        self._wake.set()
+
+    def start(self, fleet: Fleet) -> None:
+        self._fleet, self._now_us = fleet, self._clock.now_us()
+        self._perform(self._balancer.start(self._now_us))
+
+    async def run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            # Everything queued is one turn at one time, as a batch is in the simulator.
+            self._now_us = self._clock.now_us()
+            for _ in range(len(self._inbox)):
+                message = self._inbox.popleft()
+                try:
+                    self._take(message)
+                except Exception as error:
+                    self._recover(error)
+
+    def _take(self, message: Message) -> None:
+        match message:
+            case Arrived(req):
+                self._arrived(req)
+            case Stood(req, server):
+                self._reqs[req.asked.request] = req
+                req.up = req.answered = True
+                req.attempts, req.out, req.server, req.sent_us = 1, 0, server, self._now_us
+                self._tell(Existing(req.asked, server))
+                if self._draining:
+                    req.door.move()
+            case FetchUp(req, attempt):
+                if req.out == attempt:
+                    req.up = req.answered = True
+                    self._tell(Begun(req.asked.request, attempt, req.server, self._now_us - req.sent_us))
+                    if self._draining:
+                        req.door.move()
+            case FetchEnded(req, attempt, end):
+                self._ended(req, attempt, end)
+            case ClientLeft(req):
+                req.answered = True
+                if req.asked.request in self._reqs:
+                    self._tell(ClientGone(req.asked.request))
+                    self._forget(req)
+            case Heard(req, kind, value):
+                if req.up and req.out is not None:
+                    self._tell(Note(req.asked.request, req.out, req.server, kind, value))
+            case Listed(update):
+                self._tell(update)
+            case Probed(server, status, spent_us, report):
+                self._tell(ProbeResult(server, status, spent_us, report))
+            case Due(token, at_us):
+                if self._now_us < at_us:  # the loop's timers count whole milliseconds
+                    self._timer(token, at_us)
+                else:
+                    self._tell(TimerDue(token))
+            case Overdue(req):
+                if not req.answered:
+                    self._counters.add("answers_overdue")
+                    self._tell(ClientGone(req.asked.request))
+                    self._fail(req)
+            case Drain(over_us):
+                self._drain(over_us)
+
+    def _tell(self, event: Event) -> None:
+        self._perform(self._balancer.handle(event, self._now_us))
+
+    def _arrived(self, req: Req) -> None:
+        request = req.asked.request
+        if self._draining:
+            self._refuse(req, 0)
+            return
+        self._reqs[request] = req
+        asyncio.get_running_loop().call_later(
+            max(0.0, (req.deadline_us - self._now_us) / 1e6), self.put, Overdue(req)
+        )
+        self._tell(req.asked)
+
+    def _ended(self, req: Req, attempt: int, end: FetchEnd) -> None:
+        if req.out != attempt:
+            return
+        req.out = None
+        self._counters.add(f"fetches_{end.status.value}")
+        final = req.answered or req.up
+        spent_us = self._now_us - req.sent_us
+        outcome = Outcome(req.asked.request, attempt, req.server, end.status, spent_us, final, end.report)
+        if final:
+            req.answered = True
+            self._forget(req)
+        self._tell(outcome)
+        if req.orphan and not req.answered:
+            self._fail(req)
+
+    def _forget(self, req: Req) -> None:
+        """A record goes once no answer is owed and no fetch is out."""
+        if req.answered and req.out is None:
+            self._reqs.pop(req.asked.request, None)
+
+    def _perform(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send(request, server, cut_at_us):
+                    self._send(request, server, cut_at_us)
+                case Cancel(request, attempt):
+                    req = self._reqs.get(request)
+                    if req is not None and req.out == attempt and not req.up:
+                        req.door.cancel(attempt)
+                case Refuse(request, retry_after_us):
+                    req = self._reqs.get(request)
+                    if req is not None and not req.answered:
+                        self._refuse(req, retry_after_us)
+                case Fail(request):
+                    req = self._reqs.get(request)
+                    if req is not None and not req.answered:
+                        self._fail(req)
+                case Move(request):
+                    req = self._reqs.get(request)
+                    if req is not None and req.up:
+                        self._counters.add("moves")
+                        req.door.move()
+                case SetTimer(at_us, token):
+                    self._timer(token, at_us)
+                case Probe(server):
+                    if self._fleet is not None:
+                        self._fleet.probe(server)
+                case CloseIdle(server):
+                    if self._fleet is not None:
+                        self._fleet.close_idle(server)
+                case FetchList():
+                    if self._fleet is not None:
+                        self._fleet.fetch_list()
+                case Log(message):
+                    self._log.event("decision", text=message)
+                case _:  # Subscribe: the watch always stands; Tell: proxies share nothing
+                    pass
+
+    def _timer(self, token: int, at_us: int) -> None:
+        delay = max(0.0, (at_us - self._clock.now_us()) / 1e6)
+        asyncio.get_running_loop().call_later(delay, self.put, Due(token, at_us))
+
+    def _send(self, request: str, server: str, cut_at_us: int) -> None:
+        req = self._reqs.get(request)
+        if req is None:
+            return
+        attempt = req.attempts
+        cut_at_us = min(cut_at_us or req.deadline_us, req.deadline_us)
+        if req.answered or req.out is not None or attempt >= self._settings.max_attempts:
+            # Never two at once, and none for a req that has its answer.
+            self._tell(Outcome(request, attempt, server, Status.UNUSED, 0, req.answered))
+            return
+        req.attempts, req.out, req.server, req.sent_us = attempt + 1, attempt, server, self._now_us
+        self._counters.add("fetches")
+        req.door.fetch(attempt, server, cut_at_us)
+
+    def _refuse(self, req: Req, retry_after_us: int) -> None:
+        req.answered = True
+        self._counters.add("answers_busy")
+        req.door.refuse(retry_after_us)
+        self._forget(req)
+
+    def _fail(self, req: Req) -> None:
+        req.answered = True
+        self._counters.add("answers_failed")
+        req.door.fail()
+        self._forget(req)
+
+    def _drain(self, over_us: int) -> None:
+        """Asked to stop: those who wait are answered now, those who stand are moved one by one."""
+        self._draining = True
+        standing = [req for req in self._reqs.values() if req.up]
+        for req in [req for req in self._reqs.values() if not req.answered]:
+            profile = self._settings.profiles[req.asked.profile]
+            if req.attempts == 0 or profile.idempotency is Idempotency.RETRYABLE:
+                self._refuse(req, 0)
+            else:
+                self._fail(req)
+        loop = asyncio.get_running_loop()
+        for place, req in enumerate(standing):
+            loop.call_later(over_us / 1e6 * place / len(standing), req.door.move)
+
+    def _recover(self, error: Exception) -> None:
+        """A fault of the decisions: answer whoever waits without a fetch, begin again with what stands."""
+        self._counters.add("decision_faults")
+        self._log.event("decision_fault", error=repr(error), trace=traceback.format_exc(limit=4))
+        self._seed += 1
+        self._balancer = Balancer(self._settings, self._seed)
+        for req in [req for req in self._reqs.values() if not req.answered]:
+            req.orphan = True
+            if req.out is None:
+                self._fail(req)
+        if self._fleet is not None:
+            self._perform(self._balancer.start(self._now_us))
+            self._fleet.fetch_list()
+        for req in self._reqs.values():
+            if req.up and req.out is not None:
+                self._perform(self._balancer.handle(Existing(req.asked, req.server), self._now_us))
--- a/saffrondrift/adapter.py
+++ b/stoatgw/simwire/host.py
@@ -7,8 +7,8 @@
 import traceback
 from typing import TextIO
 
-from saffrondrift.balancer import Balancer
-from saffrondrift.wire import Decoder, Start, Stop, WireError, encode, encode_crash
+from stoatgw.decisions.balancer import Balancer
+from stoatgw.simwire.codec import Decoder, Start, Stop, WireError, encode, encode_crash
 
 
 def serve(source: TextIO, sink: TextIO) -> None:
@@ -66,7 +66,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except (WireError, UnicodeDecodeError) as error:
-        print(f"saffrondrift: {error}", file=sys.stderr)
+        print(f"stoatgw: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,8 +4,8 @@
 
 from typing import Any, TypeVar
 
-from saffrondrift.balancer import Balancer
-from saffrondrift.interface import (
+from stoatgw.decisions.balancer import Balancer
+from stoatgw.decisions.interface import (
     Action,
     Begun,
     Event,
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from saffrondrift.interface import (
+from stoatgw.decisions.interface import (
     Action,
     Begun,
     ClientGone,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from saffrondrift.interface import (
+from stoatgw.decisions.interface import (
     ClientGone,
     Existing,
     Fail,
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from saffrondrift.balancer import Balancer
-from saffrondrift.interface import (
+from stoatgw.decisions.balancer import Balancer
+from stoatgw.decisions.interface import (
     Lifecycle,
     ListKind,
     Move,
@@ -17,7 +17,7 @@
     ServerEntry,
     Status,
 )
-from saffrondrift.records import Server
+from stoatgw.decisions.records import Server
 from tests.fleet import SECOND, T0, Stand, settings
 
 
