Move connections off a server whose report says load over 1

Checked: 2,420 answered lines took 0.2 ms in the middle and 3.4 ms at most, so a delay note never comes. At fault: balancer.py _on_probe, which passed over a report of x0 > 1 that told the same. Change: _on_probe relieves such a server, unless a delay note came within NEWS_US.

Kept: this is not the ordinary path; standing connections on servers under load 1 are left alone.

--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -151,6 +151,10 @@
         if server is not None:
             server.probe_failures = 0 if event.status is Status.DELIVERED else server.probe_failures + 1
             self._take_report(server, event.report)
+            # On sockets lines come back at once however loaded the server is: there only reports tell.
+            news, told = self._now_us - server.reported_us, self._now_us - server.delayed_us
+            if server.load > 1.0 and news == 0 and told >= NEWS_US:
+                self._relieve(server)
 
     def _take_report(self, server: Server, row: tuple[float | None, ...]) -> None:
         report = dict(zip(self._settings.report_columns, row))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,12 +5,14 @@
 import pytest
 
 from stoatgw.decisions.interface import (
+    Existing,
     ListKind,
     ListUpdate,
     Move,
     Probe,
     ProbeResult,
     Refuse,
+    Request,
     Send,
     ServerEntry,
     Status,
@@ -444,3 +446,15 @@
     stand.event(ListUpdate(ListKind.SNAPSHOT, 2, ()))
     stand.ask()
     assert stand.of(Refuse) and not stand.of(Send)
+
+
+def test_a_reported_load_over_one_moves_some_away_but_not_beside_a_delay_note() -> None:
+    stand = Stand()
+    stand.fleet(a=0, b=0)
+    stand.report("a", 0.5, 20)
+    stand.report("b", 0.1, 20)
+    for index in range(40):
+        stand.event(Existing(Request(f"{index:016x}", 0, 0), "a"))
+    assert stand.report("a", 1.4, 40) and len(stand.of(Move)) == 4
+    stand.late(f"{39:016x}", "a", 30.0)
+    assert not stand.report("a", 1.4, 36)
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,194 @@
+"""The owner: what it does for the decisions, and that every req taken is answered."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from stoatgw.decisions.interface import Event, ListKind, ListUpdate, Request, ServerEntry, Status
+from stoatgw.owner.clock import Clock
+from stoatgw.owner.messages import (
+    Arrived,
+    ClientLeft,
+    Drain,
+    FetchEnd,
+    FetchEnded,
+    FetchUp,
+    Listed,
+    Message,
+    Overdue,
+    Req,
+    Stage,
+    Stood,
+)
+from stoatgw.owner.owner import Owner
+from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import EventLog
+from tests.fleet import settings
+
+
+class Backstage:
+    def __init__(self) -> None:
+        self.done: list[Any] = []
+
+    def probe(self, server: str) -> None:
+        self.done.append(("probe", server))
+
+    def close_idle(self, server: str) -> None:
+        self.done.append(("close_idle", server))
+
+    def fetch_list(self) -> None:
+        self.done.append("fetch_list")
+
+
+class Door:
+    """A client's side that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.told: list[Any] = []
+
+    def fetch(self, attempt: int, server: str, cut_at_us: int) -> None:
+        self.told.append(("fetch", attempt, server))
+
+    def cancel(self, attempt: int) -> None:
+        self.told.append("cancel")
+
+    def refuse(self, retry_after_us: int) -> None:
+        self.told.append(("busy", retry_after_us))
+
+    def fail(self) -> None:
+        self.told.append("failed")
+
+    def move(self) -> None:
+        self.told.append("move")
+
+
+class Stand:
+    def __init__(self) -> None:
+        self.clock, self.counters, self.backstage = Clock(), Counters(), Backstage()
+        self.owner = Owner(settings(), 7, self.clock, EventLog("test"), self.counters)
+        self.owner.start(self.backstage)
+        self.asked = 0
+
+    async def take(self, *messages: Message) -> None:
+        for message in messages:
+            self.owner.put(message)
+        task = asyncio.get_running_loop().create_task(self.owner.run())
+        for _ in range(3):
+            await asyncio.sleep(0)
+        task.cancel()
+
+    async def servers(self, *names: str) -> None:
+        entries = tuple(ServerEntry(name) for name in names)
+        await self.take(Listed(ListUpdate(ListKind.SNAPSHOT, 1, entries)))
+
+    def req(self) -> tuple[Req, Door]:
+        self.asked += 1
+        door = Door()
+        asked = Request(f"{self.asked:016x}", 0, 2_000_000)
+        return Req(asked, self.clock.now_us() + 2_000_000, door), door
+
+
+def drive(play: Callable[[Stand], Any]) -> None:
+    async def run() -> None:
+        await play(Stand())
+
+    asyncio.run(run())
+
+
+def end(status: Status, stage: Stage) -> FetchEnd:
+    return FetchEnd(status, stage)
+
+
+def test_a_refused_connect_is_tried_once_more_then_refused_with_advice() -> None:
+    async def play(stand: Stand) -> None:
+        await stand.servers("a", "b", "c")
+        req, door = stand.req()
+        await stand.take(Arrived(req))
+        await stand.take(FetchEnded(req, 0, end(Status.DIAL_FAILED, Stage.CONNECTING)))
+        await stand.take(FetchEnded(req, 1, end(Status.DIAL_FAILED, Stage.CONNECTING)))
+        (first, second, last) = door.told
+        assert (first[:2], second[:2]) == (("fetch", 0), ("fetch", 1)) and first[2] != second[2]
+        assert last == ("busy", 1_000_000) and stand.owner.open == 0
+
+    drive(play)
+
+
+def test_an_end_told_twice_counts_once() -> None:
+    async def play(stand: Stand) -> None:
+        await stand.servers("a", "b", "c")
+        req, door = stand.req()
+        await stand.take(Arrived(req))
+        ended = FetchEnded(req, 0, end(Status.SHED, Stage.SENT))
+        await stand.take(ended, ended)
+        assert len(door.told) == 2 and stand.counters["fetches_shed"] == 1
+
+    drive(play)
+
+
+@pytest.mark.parametrize("up", [False, True])
+def test_a_client_that_leaves_leaves_no_record(up: bool) -> None:
+    async def play(stand: Stand) -> None:
+        await stand.servers("a")
+        req, door = stand.req()
+        await stand.take(Arrived(req))
+        if up:
+            await stand.take(FetchUp(req, 0))
+        await stand.take(ClientLeft(req), FetchEnded(req, 0, end(Status.REVOKED, Stage.SENT)))
+        assert stand.owner.open == 0 and len(door.told) == 1
+
+    drive(play)
+
+
+def test_no_server_at_all_is_answered_at_once() -> None:
+    async def play(stand: Stand) -> None:
+        req, door = stand.req()
+        await stand.take(Arrived(req))
+        assert door.told == [("busy", 1_000_000)]
+
+    drive(play)
+
+
+def test_a_drain_answers_those_who_wait_moves_those_who_stand_and_refuses_newcomers() -> None:
+    async def play(stand: Stand) -> None:
+        await stand.servers("a", "b")
+        (waits, one), (stands, two), (comes, three) = stand.req(), stand.req(), stand.req()
+        await stand.take(Arrived(waits), Stood(stands, "a"), Drain(0), Arrived(comes))
+        await asyncio.sleep(0.01)
+        assert one.told[1:] == [("busy", 0)] and two.told == ["move"] and three.told == [("busy", 0)]
+        await stand.take(FetchUp(waits, 0))
+        assert one.told[-1] == "move"  # an UP that crossed the refusal
+
+    drive(play)
+
+
+def test_the_answer_is_given_when_the_time_is_up_whatever_the_decisions_do() -> None:
+    async def play(stand: Stand) -> None:
+        await stand.servers("a")
+        req, door = stand.req()
+        await stand.take(Arrived(req), Overdue(req), Overdue(req))
+        assert door.told[1:] == ["failed"]
+
+    drive(play)
+
+
+def test_a_fault_of_the_decisions_leaves_no_req_unanswered(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(stand: Stand) -> None:
+        await stand.servers("a")
+        (out, first), (standing, _), (fresh, last) = stand.req(), stand.req(), stand.req()
+        await stand.take(Arrived(out), Stood(standing, "a"))
+
+        def fault(event: Event, now_us: int) -> None:
+            raise RuntimeError("broken")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(stand.owner._balancer, "handle", fault)
+            await stand.take(Arrived(fresh))
+        assert last.told == ["failed"] and stand.backstage.done[-1] == "fetch_list"
+        await stand.take(FetchEnded(out, 0, end(Status.DIAL_FAILED, Stage.CONNECTING)))
+        assert first.told[-1] == "failed" and stand.owner.open == 1
+
+    drive(play)
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,294 @@
+"""Client sessions against a toy backend on loopback: what passes, and how ends reach the other side."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+import pytest
+import uvloop
+
+from stoatgw.backends.backend import Backends
+from stoatgw.backends.delays import Messages, latest_ms
+from stoatgw.backends.probe import Columns, Prober
+from stoatgw.clients.house import House, RecentIds
+from stoatgw.clients.listener import Listener
+from stoatgw.config.deployment import Address, read
+from stoatgw.decisions.interface import ListKind, ListUpdate, ServerEntry
+from stoatgw.owner.clock import Clock
+from stoatgw.owner.messages import Drain, Listed
+from stoatgw.owner.owner import Owner
+from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import EventLog
+from tests.test_director import CONFIG
+
+OPEN = b"OPEN %016x 1 c=chat,d=2000\r\n"
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Proxy:
+    """A proxy in this process, with one toy backend `s`."""
+
+    def __init__(self) -> None:
+        self.deployment = read(CONFIG)
+        self.clock, self.counters, self.backends = Clock(), Counters(), Backends()
+        log = EventLog("test")
+        self.owner = Owner(self.deployment.settings, 1, self.clock, log, self.counters)
+        columns = Columns(self.deployment.settings.report_columns)
+        self.prober = Prober(self.owner, self.clock, columns, 250_000, self.counters)
+        self.house = House(
+            self.deployment, self.owner, self.backends, self.clock, columns.row, self.counters, log
+        )
+        self.listener = Listener(self.house)
+        self.asked: list[bytes] = []
+        self.ids = 0
+
+    def probe(self, server: str) -> None:
+        pass
+
+    close_idle = probe
+
+    def fetch_list(self) -> None:
+        pass
+
+    async def client(self) -> Streams:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(self, more: bytes = b"") -> Streams:
+        self.ids += 1
+        reader, writer = await self.client()
+        writer.write((OPEN % self.ids)[:-2] + more + b"\r\n")
+        return reader, writer
+
+    async def settle(self) -> None:
+        """Wait until nothing is left behind."""
+        async with asyncio.timeout(5):
+            while self.listener.open or self.owner.open or self.house.standing:
+                await asyncio.sleep(0.01)
+
+    async def play(self, serve: Serve, test: Callable[[Proxy], Awaitable[None]]) -> None:
+        async def taken(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.asked.append(await reader.readline())
+            await serve(reader, writer)
+
+        server = await asyncio.start_server(taken, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        entry = ServerEntry("s")
+        self.backends.listed([(entry, "127.0.0.1", port)], True, 0)
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.port = free.getsockname()[1]
+        self.listener.bind(Address("127.0.0.1", self.port))
+        self.owner.start(self)
+        self.owner.put(Listed(ListUpdate(ListKind.SNAPSHOT, 1, (entry,))))
+        loop = asyncio.get_running_loop()
+        tasks = [loop.create_task(run()) for run in (self.owner.run, self.listener.run)]
+        try:
+            async with asyncio.timeout(20):
+                await test(self)
+        finally:
+            for task in tasks:
+                task.cancel()
+            server.close()
+
+
+def play(serve: Serve, test: Callable[[Proxy], Awaitable[None]]) -> None:
+    uvloop.run(Proxy().play(serve, test))
+
+
+async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """UP, then each line back; END ends politely, CUT with a reset, HALF in the middle of a line."""
+    writer.write(b"UP 77\r\n")
+    while line := await reader.readline():
+        if line == b"CUT\r\n":
+            peer = writer.get_extra_info("socket")
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            break
+        if line == b"END\r\n":
+            writer.write(b"BYE\r\n")
+            break
+        writer.write(b"hal" if line == b"HALF\r\n" else line)
+    writer.close()
+
+
+def test_lines_pass_both_ways_and_the_backends_end_reaches_the_client() -> None:
+    async def test(proxy: Proxy) -> None:
+        reader, writer = await proxy.ask(b",again=1")
+        assert await reader.readline() == b"UP 77\r\n"
+        head, _, wait = proxy.asked[0].partition(b"d=")
+        assert head == b"OPEN 0000000000000001 1 c=chat," and wait.endswith(b",again=1\r\n")
+        assert 0 < int(wait.partition(b",")[0]) < 2000
+        long = b"x" * 100_000 + b"\r\n"
+        writer.write(long + b"END\r\n")
+        assert await reader.read() == long + b"BYE\r\n"
+        writer.close()
+        await proxy.settle()
+        assert proxy.counters["fetches_delivered"] == 1
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP 77\r\n")
+        total = b""
+        while not total.endswith(b"END\r\n"):
+            total += await reader.read(65536)
+        writer.write(total[:-5] + b"BYE\r\n")
+        writer.close()
+
+    play(serve, test)
+
+
+def test_a_reset_stays_a_reset() -> None:
+    async def test(proxy: Proxy) -> None:
+        reader, writer = await proxy.ask()
+        await reader.readline()
+        writer.write(b"CUT\r\n")
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        await proxy.settle()
+        assert proxy.counters["fetches_dropped"] == 1
+
+    play(echo, test)
+
+
+@pytest.mark.parametrize("up", [False, True])
+def test_a_client_that_leaves_before_up_or_after_leaves_nothing_behind(up: bool) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if up:
+            writer.write(b"UP 1\r\n")
+        ends.append(await reader.read())
+        writer.close()
+
+    async def test(proxy: Proxy) -> None:
+        reader, writer = await proxy.ask()
+        while not proxy.asked or (up and not await reader.readline()):
+            await asyncio.sleep(0.01)
+        writer.close()
+        await proxy.settle()
+        while not ends:
+            await asyncio.sleep(0.01)
+
+    ends: list[bytes] = []
+    play(serve, test)
+    assert ends == [b""]
+
+
+def test_a_move_waits_for_the_end_of_a_line() -> None:
+    async def test(proxy: Proxy) -> None:
+        reader, writer = await proxy.ask()
+        await reader.readline()
+        writer.write(b"HALF\r\n")
+        assert await reader.readexactly(3) == b"hal"
+        proxy.house.standing["0000000000000001"].give_up()
+        writer.write(b"f\r\n")
+        assert await reader.read() == b"f\r\nMOVE\r\n"
+        writer.close()
+        await proxy.settle()
+
+    play(echo, test)
+
+
+def test_a_drain_moves_all_and_refuses_newcomers() -> None:
+    async def test(proxy: Proxy) -> None:
+        standing = [await proxy.ask() for _ in range(5)]
+        for reader, _ in standing:
+            assert await reader.readline() == b"UP 77\r\n"
+        proxy.owner.put(Drain(10_000))
+        for reader, writer in standing:
+            assert await reader.read() == b"MOVE\r\n"
+            writer.close()
+        reader, writer = await proxy.ask()
+        assert await reader.read() == b"BUSY\r\n"
+        writer.close()
+        await proxy.settle()
+
+    play(echo, test)
+
+
+def test_bad_first_lines_are_answered_once_and_never_forwarded() -> None:
+    async def test(proxy: Proxy) -> None:
+        for line in (b"HELLO\r\n", b"x" * 5000, OPEN.replace(b"chat", b"other") % 9, OPEN % 1):
+            reader, writer = await proxy.client()
+            writer.write((b"PING\r\n" if line == b"HELLO\r\n" else b"") + line)
+            answer = await reader.read()
+            assert answer.replace(b"PONG\r\n", b"").startswith(b"ERR ") == (line != OPEN % 1)
+            writer.close()
+        reader, writer = await proxy.client()
+        writer.write(OPEN % 1)
+        assert await reader.read() == b"ERR the id came before\r\n"
+        writer.close()
+        await proxy.settle()
+        assert len(proxy.asked) == 1 and proxy.counters["requests_malformed"] == 4
+
+    async def busy(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"ERR\r\n")
+        writer.close()
+
+    play(busy, test)
+
+
+def test_a_standing_connection_survives_a_late_list_and_a_backend_that_is_full_at_first() -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(tries) < 2:
+            tries.append(1)
+            writer.write(b"BUSY\r\n")
+            writer.close()
+            return
+        await echo(reader, writer)
+
+    async def test(proxy: Proxy) -> None:
+        kept = proxy.backends._backends.pop("s")
+        reader, writer = await proxy.ask(b",at=s")
+        await asyncio.sleep(0.05)
+        proxy.backends._backends["s"] = kept
+        assert await reader.readline() == b"UP 77\r\n"
+        assert set(proxy.asked) == {b"OPEN 0000000000000001 1 c=chat,d=2000,at=s\r\n"}
+        writer.write(b"END\r\n")
+        assert await reader.read() == b"BYE\r\n"
+        writer.close()
+        await proxy.settle()
+
+    tries: list[int] = []
+    play(serve, test)
+
+
+def test_a_probe_reuses_its_connection_and_reads_fields_by_name() -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connections.append(1)
+        writer.write(b"PONG x0=0.5,inflight=7\r\n")
+        while await reader.readline():
+            writer.write(b"PONG inflight=8\r\n")
+        writer.close()
+
+    async def test(proxy: Proxy) -> None:
+        backend = proxy.backends.get("s")
+        assert backend is not None
+        for count in (1, 2):
+            proxy.prober.probe(backend)
+            while proxy.counters["probes_delivered"] < count:
+                await asyncio.sleep(0.01)
+        assert connections == [1]
+        proxy.prober.close("s")
+
+    connections: list[int] = []
+    play(serve, test)
+    columns = Columns(("errors_per_s", "outstanding", "x0"))
+    assert columns.row({"x0": 0.5, "inflight": 7, "odd": 1}) == (None, 7, 0.5)
+
+
+def test_message_times_tell_the_last_answer_and_what_is_overdue() -> None:
+    one, two = Messages(), Messages()
+    one.ask(1, 1_000_000)
+    one.answer(1_040_000)
+    assert latest_ms([one, two], 1_500_000) == 40
+    two.ask(2, 1_400_000)
+    assert latest_ms([one, two], 1_500_000) == 100
+    two.answer(1_520_000)
+    assert (latest_ms([one, two], 1_520_000), two.overdue_us(1_520_000)) == (120, 120_000)
+    assert latest_ms([one], 3_000_000) == 0
+
+
+def test_recent_ids_stay_bounded() -> None:
+    ids = RecentIds(2)
+    assert [ids.fresh(name) for name in "aabcaba"] == [True, False, True, True, True, True, False]
