Match an answer to its own line, so that a lost line delays no other

Logged events and message times: from a hang at 9 s on, whole connections showed 2,000.3 ms a line beside 0.2 ms on their neighbours: one line had never been answered, and delays.py answer() took lines one for one, so each later answer was timed from the line before its own, and Note(DELAY) never ended. Change: an answer that repeats a line answers that one, any other all asked so far; a line passed over is not overdue. Also at fault beside it: _stand could drop early bytes that came while others were sent.

--- a/stoatgw/backends/delays.py
+++ b/stoatgw/backends/delays.py
@@ -12,28 +12,42 @@
 
 @dataclass(slots=True, eq=False)
 class Messages:
-    """The lines of one standing connection that wait for an answer."""
-
-    asked: deque[int] = field(default_factory=lambda: deque(maxlen=PENDING_MOST))
-    answered_us: int = 0
-    took_us: int = 0
-
-    def ask(self, lines: int, now_us: int) -> None:
-        self.asked.extend([now_us] * min(lines, PENDING_MOST))
-
-    def answer(self, now_us: int) -> None:
-        if self.asked:
-            self.answered_us, self.took_us = now_us, now_us - self.asked.popleft()
+    """The lines of one standing connection that wait for an answer, oldest first."""
+
+    asked: deque[tuple[int, bytes]] = field(default_factory=lambda: deque(maxlen=PENDING_MOST))
+    answered_us: int = 0  # when the last answer came
+    for_us: int = 0  # when the line that it answers was sent
+
+    def ask(self, lines: Iterable[bytes], now_us: int) -> None:
+        self.asked.extend((now_us, line) for line in lines)
+
+    def answer(self, line: bytes, now_us: int) -> None:
+        """An answer that repeats a line is its answer; any other answers all that was asked so far."""
+        if not self.asked:
+            return
+        # Guards against a line that is never answered: taken one for one, each later answer would be
+        # timed from the line before its own, and a sound backend would look seconds late for good.
+        place = next((place for place, (_, asked) in enumerate(self.asked) if asked == line), None)
+        self.answered_us, self.for_us = now_us, self.asked[place or 0][0]
+        if place is None:
+            self.asked.clear()
+        else:
+            for _ in range(place + 1):
+                self.asked.popleft()
 
     def overdue_us(self, now_us: int) -> int:
-        return now_us - self.asked[0] if self.asked else 0
+        return now_us - self.asked[0][0] if self.asked else 0
+
 
+def latest_ms(connections: list[Messages], now_us: int) -> float:
+    """A backend's message time now: that of the last answer, or the age of an unanswered line.
 
-def latest_ms(connections: Iterable[Messages], now_us: int) -> float:
-    """A backend's message time now: that of the last answer, or the age of an older unanswered line."""
-    latest, took, overdue = now_us - RECENT_US, 0, 0
+    A line that was passed over, since a later one has its answer, tells nothing of now.
+    """
+    latest, took, newest = now_us - RECENT_US, 0, 0
     for messages in connections:
+        newest = max(newest, messages.for_us)
         if messages.answered_us > latest:
-            latest, took = messages.answered_us, messages.took_us
-        overdue = max(overdue, messages.overdue_us(now_us))
-    return max(took, overdue) / 1000
+            latest, took = messages.answered_us, messages.answered_us - messages.for_us
+    waiting = [asked_us for messages in connections for asked_us, _ in messages.asked if asked_us > newest]
+    return max(took, now_us - min(waiting, default=now_us)) / 1000
--- a/stoatgw/backends/fetch.py
+++ b/stoatgw/backends/fetch.py
@@ -8,7 +8,7 @@
 
 from stoatgw.backends.backend import Backend
 from stoatgw.decisions.interface import Status
-from stoatgw.lines.grammar import Reply, Word, read_reply
+from stoatgw.lines.grammar import Word, read_reply
 from stoatgw.lines.splitter import Splitter
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import FetchEnd, Stage
@@ -27,7 +27,7 @@
 class Listener(Protocol):
     """The client's side of a standing connection."""
 
-    def heard(self, replies: list[Reply]) -> None: ...
+    def heard(self, lines: list[bytes]) -> None: ...
 
     def pass_on(self, data: bytes) -> Awaitable[None]: ...
 
@@ -96,10 +96,10 @@
         try:
             while count := await loop.sock_recv_into(self._sock, self._buffer):
                 data = bytes(memoryview(self._buffer)[:count])
-                replies = [read_reply(line) for line in self._splitter.feed(data)]
-                if replies:
-                    self._last = replies[-1].word
-                    listener.heard(replies)
+                lines = self._splitter.feed(data)
+                if lines:
+                    self._last = read_reply(lines[-1]).word
+                    listener.heard(lines)
                 await listener.pass_on(data)
         except OSError as error:
             self.reset = True
--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -90,7 +90,7 @@
         """While a backend's delay is over a third of the shortest aim, and once when it is back under."""
         told = set()
         for server, standing in self._house.by_server():
-            delay_ms = latest_ms((each.messages for each in standing), now_us)
+            delay_ms = latest_ms([each.messages for each in standing], now_us)
             late = delay_ms > self._tell_ms
             if late:
                 told.add(server)
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -18,12 +18,12 @@
     PONG,
     Malformed,
     Open,
-    Reply,
     Word,
     busy,
     error,
     read_number,
     read_open,
+    read_reply,
 )
 from stoatgw.lines.splitter import Splitter
 from stoatgw.owner.messages import (
@@ -66,7 +66,8 @@
     def __init__(self, sock: socket.socket, house: House) -> None:
         self._sock, self._house = sock, house
         self._buffer = bytearray(BUFFER)
-        self._splitter = Splitter()
+        self._splitter = Splitter()  # for the first line
+        self._asking = Splitter()  # for the lines after UP
         self._end: asyncio.Future[End] = asyncio.get_running_loop().create_future()
         self._req: Req | None = None
         self._open: Open | None = None
@@ -304,10 +305,11 @@
         house.counters.add("answers_up")
         house.standing[req.asked.request] = Standing(req, server, self._messages, self.give_up)
         await self.pass_on(fetch.receipt)
-        if self._early:
-            self._messages.ask(self._early.count(b"\n"), house.clock.now_us())
-            await fetch.send(bytes(self._early))
+        while self._early:  # more may come while these are sent
+            data = bytes(self._early)
             self._early.clear()
+            self._heard_client(data)
+            await fetch.send(data)
         self._fetch = fetch
         return await fetch.relay(self)
 
@@ -317,16 +319,17 @@
         if fetch is not None:
             fetch.close(reset=self._end.done() and self._end.result().reset)
 
-    def heard(self, replies: list[Reply]) -> None:
+    def heard(self, lines: list[bytes]) -> None:
         now_us, house = self._house.clock.now_us(), self._house
-        house.counters.add("lines_from_backends", len(replies))
-        for reply in replies:
+        house.counters.add("lines_from_backends", len(lines))
+        for line in lines:
+            reply = read_reply(line)
             if reply.word is Word.LOAD and self._req is not None:
                 value = read_number(reply.rest)
                 if value is not None:
                     house.owner.put(Heard(self._req, NoteKind.LOAD, value))
             elif reply.word not in UNTIMED:
-                self._messages.answer(now_us)
+                self._messages.answer(line, now_us)
 
     async def pass_on(self, data: bytes) -> None:
         self._between_lines = False
@@ -337,8 +340,13 @@
 
     # The client's side.
 
+    def _heard_client(self, data: bytes) -> None:
+        lines = self._asking.feed(data)
+        self._house.counters.add("lines_from_clients", len(lines))
+        self._messages.ask(lines, self._house.clock.now_us())
+
     async def _read_client(self) -> None:
-        loop, house = asyncio.get_running_loop(), self._house
+        loop = asyncio.get_running_loop()
         try:
             while count := await loop.sock_recv_into(self._sock, self._buffer):
                 data = bytes(memoryview(self._buffer)[:count])
@@ -347,9 +355,7 @@
                     if len(self._early) > EARLY_CAP:
                         raise ConnectionError("too much before UP")
                     continue
-                lines = data.count(b"\n")
-                house.counters.add("lines_from_clients", lines)
-                self._messages.ask(lines, house.clock.now_us())
+                self._heard_client(data)
                 try:
                     await self._fetch.send(data)
                 except OSError:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -279,16 +279,36 @@
 
 def test_message_times_tell_the_last_answer_and_what_is_overdue() -> None:
     one, two = Messages(), Messages()
-    one.ask(1, 1_000_000)
-    one.answer(1_040_000)
+    one.ask([b"a"], 1_000_000)
+    one.answer(b"a", 1_040_000)
     assert latest_ms([one, two], 1_500_000) == 40
-    two.ask(2, 1_400_000)
+    two.ask([b"b", b"c"], 1_400_000)
     assert latest_ms([one, two], 1_500_000) == 100
-    two.answer(1_520_000)
+    two.answer(b"b", 1_520_000)
     assert (latest_ms([one, two], 1_520_000), two.overdue_us(1_520_000)) == (120, 120_000)
     assert latest_ms([one], 3_000_000) == 0
 
 
+@pytest.mark.parametrize("echoes", [True, False])
+def test_a_line_never_answered_does_not_make_each_later_answer_late(echoes: bool) -> None:
+    messages = Messages()
+    messages.ask([b"lost"], 0)
+    for second in range(2, 8, 2):
+        asked = b"line %d" % second
+        messages.ask([asked], second * 1_000_000)
+        messages.answer(asked if echoes else b"ok", second * 1_000_000 + 200)
+    assert latest_ms([messages], 6_000_200) == 0.2 and not messages.asked
+
+
+def test_a_line_passed_over_is_not_overdue() -> None:
+    one, two = Messages(), Messages()
+    one.ask([b"lost"], 1_000_000)
+    assert latest_ms([one, two], 1_900_000) == 900
+    two.ask([b"b"], 1_950_000)
+    two.answer(b"b", 1_950_100)
+    assert latest_ms([one, two], 2_000_000) == 0.1
+
+
 def test_recent_ids_stay_bounded() -> None:
     ids = RecentIds(2)
     assert [ids.fresh(name) for name in "aabcaba"] == [True, False, True, True, True, True, False]
