--- a/stoatgw/__main__.py
+++ b/stoatgw/__main__.py
@@ -72,7 +72,10 @@
     )
     director.known(deployment.known)
     owner.start(Backstage(backends, prober, director))
-    listener.bind(deployment.listen)
+    try:
+        listener.bind(deployment.listen)
+    except OSError as fault:
+        raise ConfigError(f"listen: cannot listen there: {fault.strerror}") from None
     tasks = [loop.create_task(run()) for run in (owner.run, director.run, listener.run, listener.watch)]
     log.event("ready", listen=f"{deployment.listen.host}:{deployment.listen.port}")
     stop = loop.create_task(stopped.wait())
@@ -96,16 +99,19 @@
     try:
         if not path:
             raise ConfigError("LB_CONFIG: not set")
-        deployment = load(path)
+        start(load(path))
     except ConfigError as fault:
         print(f"stoatgw: {fault}", file=sys.stderr)
         return 2
+    return 0
+
+
+def start(deployment: Deployment) -> None:
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     wanted = deployment.sockets if hard == resource.RLIM_INFINITY else min(deployment.sockets, hard)
     resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
     gc.freeze()
     uvloop.run(serve(deployment))
-    return 0
 
 
 if __name__ == "__main__":
--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -77,14 +77,21 @@
         while True:
             await asyncio.sleep(WATCH_S)
             turn += 1
-            now_us = self._house.clock.now_us()
-            for standing in list(self._house.standing.values()):
-                if standing.messages.overdue_us(now_us) > UNANSWERED_US:
-                    self._house.counters.add("sessions_unanswered")
-                    standing.messages.asked.clear()
-                    standing.give_up()
-            if self._house.deployment.tells_delay and turn % round(1 / WATCH_S) == 0:
-                self._tell_delays(now_us)
+            try:
+                self._look(turn % round(1 / WATCH_S) == 0)
+            except Exception as fault:  # a fault here must not end the proxy
+                self._house.counters.add("watch_over_sessions_faults")
+                self._house.log.event("watch_over_sessions_fault", error=repr(fault))
+
+    def _look(self, tell: bool) -> None:
+        now_us = self._house.clock.now_us()
+        for standing in list(self._house.standing.values()):
+            if standing.messages.overdue_us(now_us) > UNANSWERED_US:
+                self._house.counters.add("sessions_unanswered")
+                standing.messages.asked.clear()
+                standing.give_up()
+        if tell and self._house.deployment.tells_delay:
+            self._tell_delays(now_us)
 
     def _tell_delays(self, now_us: int) -> None:
         """While a backend's delay is over a third of the shortest aim, and once when it is back under."""
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -98,7 +98,10 @@
                 try:
                     self._take(message)
                 except Exception as error:
-                    self._recover(error)
+                    try:
+                        self._recover(error)
+                    except Exception as second:  # the fault is in the start too: the inbox goes on
+                        self._log.event("recovery_failed", error=repr(second))
 
     def _take(self, message: Message) -> None:
         match message:
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -5,6 +5,8 @@
 import contextlib
 import itertools
 import json
+import socket
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -12,6 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from stoatgw.__main__ import main
 from stoatgw.backends.backend import GRACE_GUARD_US, Backends
 from stoatgw.config.deployment import ConfigError, Deployment, read
 from stoatgw.decisions.interface import Lifecycle
@@ -128,3 +131,16 @@
 def test_a_bad_configuration_names_its_field(changes: dict[str, Any], field: str) -> None:
     with pytest.raises(ConfigError, match=field):
         read(CONFIG | changes)
+
+
+def test_an_address_that_cannot_be_bound_ends_the_start_with_status_2(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(CONFIG | {"listen": f"127.0.0.1:{taken.getsockname()[1]}"}))
+        monkeypatch.setenv("LB_CONFIG", str(path))
+        assert main() == 2
+    assert capsys.readouterr().err.startswith("stoatgw: listen: ")
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -43,3 +43,18 @@
     code = compile(example.group(1), "README.md", "exec")
     exec(code, {"print": lambda action: printed.append(str(action))})
     assert any("Send" in line for line in printed)
+
+
+def test_no_package_imports_in_a_circle() -> None:
+    needs: dict[str, set[str]] = {}
+    for path in (ROOT / "stoatgw").glob("*/*.py"):
+        tree = ast.parse(path.read_text())
+        named = [node.module or "" for node in ast.walk(tree) if isinstance(node, ast.ImportFrom)]
+        inner = {name.split(".")[1] for name in named if name.startswith("stoatgw.")}
+        needs.setdefault(path.parent.name, set()).update(inner - {path.parent.name})
+    while needs:
+        free = {name for name, inner in needs.items() if not inner}
+        assert free, f"a circle among {sorted(needs)}"
+        needs = {name: inner - free for name, inner in needs.items() if name not in free}
+    owner = (ROOT / "stoatgw" / "owner").glob("*.py")
+    assert not any("stoatgw.lines" in path.read_text() for path in owner)
