Answer PING with PONG only once a list is known

Read against the working page: with no last copy and discovery down, the proxy let clients in and refused them all.

--- a/stoatgw/backends/backend.py
+++ b/stoatgw/backends/backend.py
@@ -30,6 +30,11 @@
     def get(self, name: str) -> Backend | None:
         return self._backends.get(name)
 
+    @property
+    def known(self) -> bool:
+        """Whether any was ever listed: before that nothing can be served."""
+        return bool(self._backends)
+
     def listed(
         self, rows: Iterable[tuple[ServerEntry, str, int]], whole: bool, now_us: int
     ) -> list[Backend]:
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -114,9 +114,9 @@
                     lines = self._splitter.feed(memoryview(self._buffer)[:count])
                     while lines and lines[0] == PING:
                         self._house.counters.add("pings")
-                        await loop.sock_sendall(
-                            self._sock, busy(0) if self._house.draining else PONG + b"\r\n"
-                        )
+                        # PONG lets clients in: not while draining, and not before the first list.
+                        ready = self._house.backends.known and not self._house.draining
+                        await loop.sock_sendall(self._sock, PONG + b"\r\n" if ready else busy(0))
                         lines = lines[1:]
                     if lines:
                         for later in lines[1:]:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -228,6 +228,24 @@
     play(busy, test)
 
 
+def test_a_ping_is_answered_with_pong_only_once_there_is_a_list() -> None:
+    async def test(proxy: Proxy) -> None:
+        kept = proxy.backends._backends.pop("s")
+        reader, writer = await proxy.client()
+        writer.write(b"PING\r\n")
+        assert await reader.readline() == b"BUSY\r\n"
+        proxy.backends._backends["s"] = kept
+        writer.write(b"PING\r\n")
+        assert await reader.readline() == b"PONG\r\n"
+        proxy.house.draining = True
+        writer.write(b"PING\r\n")
+        assert await reader.readline() == b"BUSY\r\n"
+        writer.close()
+        await proxy.settle()
+
+    play(echo, test)
+
+
 def test_a_standing_connection_survives_a_late_list_and_a_backend_that_is_full_at_first() -> None:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(tries) < 2:
