Reload on SIGHUP: the watch moves to the new address of discovery at once

At fault: serve() in __main__.py; Director held its address for good. Now LB_CONFIG is read anew, the watch (connect, pause or stream) ends at once and begins at the new address with after=; a bad file is logged and changes nothing. SIGHUP is blocked from the first statement until its handler stands.

--- a/stoatgw/__main__.py
+++ b/stoatgw/__main__.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import sys
+from dataclasses import replace
 
 import uvloop
 
@@ -45,7 +46,32 @@
         self._director.tell_all()
 
 
-async def serve(deployment: Deployment) -> None:
+class Reload:
+    """SIGHUP: LB_CONFIG read anew. The address of discovery is taken over; the rest needs a restart."""
+
+    def __init__(
+        self, path: str, deployment: Deployment, director: Director, log: EventLog, counters: Counters
+    ) -> None:
+        self._path, self._deployment, self._director = path, deployment, director
+        self._log, self._counters = log, counters
+
+    def __call__(self) -> None:
+        """A file that cannot be used is logged and changes nothing."""
+        self._counters.add("reloads")
+        try:
+            fresh = load(self._path)
+        except Exception as fault:  # guards against a half-written file: what runs stays as it is
+            self._counters.add("reloads_bad")
+            self._log.event("reload_bad", error=str(fault)[:200])
+            return
+        # The seed and the list are new with each file; what else differs is told, not taken.
+        same = replace(fresh, discovery=self._deployment.discovery, seed=self._deployment.seed,
+                       known=self._deployment.known)  # fmt: skip
+        self._log.event("reload", discovery=str(fresh.discovery), restart_needed=same != self._deployment)
+        self._director.move_to(fresh.discovery)
+
+
+async def serve(deployment: Deployment, path: str) -> None:
     loop, clock = asyncio.get_running_loop(), Clock()
     log, counters, backends = EventLog(deployment.name), Counters(), Backends()
     settings = deployment.settings
@@ -64,6 +90,8 @@
     )
     house = House(deployment, owner, backends, clock, columns.row, counters, log)
     listener = Listener(house)
+    loop.add_signal_handler(signal.SIGHUP, Reload(path, deployment, director, log, counters))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGINT, stopped.set)
@@ -77,7 +105,7 @@
     except OSError as fault:
         raise ConfigError(f"listen: cannot listen there: {fault.strerror}") from None
     tasks = [loop.create_task(run()) for run in (owner.run, director.run, listener.run, listener.watch)]
-    log.event("ready", listen=f"{deployment.listen.host}:{deployment.listen.port}")
+    log.event("ready", listen=str(deployment.listen))
     stop = loop.create_task(stopped.wait())
     await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
     for task in tasks:
@@ -95,23 +123,25 @@
 
 
 def main() -> int:
+    # Guards against a reload during the start, which would end the program: it waits for its handler.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     path = os.environ.get("LB_CONFIG")
     try:
         if not path:
             raise ConfigError("LB_CONFIG: not set")
-        start(load(path))
+        start(load(path), path)
     except ConfigError as fault:
         print(f"stoatgw: {fault}", file=sys.stderr)
         return 2
     return 0
 
 
-def start(deployment: Deployment) -> None:
+def start(deployment: Deployment, path: str) -> None:
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     wanted = deployment.sockets if hard == resource.RLIM_INFINITY else min(deployment.sockets, hard)
     resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
     gc.freeze()
-    uvloop.run(serve(deployment))
+    uvloop.run(serve(deployment, path))
 
 
 if __name__ == "__main__":
--- a/stoatgw/config/deployment.py
+++ b/stoatgw/config/deployment.py
@@ -23,6 +23,9 @@
     host: str
     port: int
 
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
--- a/stoatgw/director/director.py
+++ b/stoatgw/director/director.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -42,6 +43,7 @@
         self._log, self._counters = log, counters
         self._entries: dict[str, ServerEntry] = {}
         self._version: int | None = None
+        self._stay = asyncio.timeout(None)  # ends early when the address changes
 
     def known(self, data: Any) -> None:
         """Take the last copy, which may be old."""
@@ -54,7 +56,25 @@
             Listed(ListUpdate(ListKind.SNAPSHOT, self._version or 0, tuple(self._entries.values())))
         )
 
+    def move_to(self, address: Address) -> None:
+        """Watch at another address from now on, after the version held; the list is kept meanwhile."""
+        if address == self._address:
+            return
+        self._address = address
+        with contextlib.suppress(RuntimeError):  # not entered yet: it begins at the new address
+            self._stay.reschedule(0.0)
+
     async def run(self) -> None:
+        while True:
+            address = self._address
+            # Guards against a pause or a connect under way that would outlast the move: news that the
+            # new address has counts as told within seconds.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(None) as self._stay:
+                    await self._keep_watching()
+            self._log.event("watch_moved", **{"from": str(address), "to": str(self._address)})
+
+    async def _keep_watching(self) -> None:
         failures = 0
         while True:
             try:
