Shed idle clients first, bound the wait for a request, refuse bytes before UP

Checked: every refusal logged with the servers' state: only bad clients' requests are refused by the module. 918 connections that never send a whole request each hold one of (572 - 64) / 2 = 254 sessions for SILENT_S = 10 s, and newcomers beyond that get BUSY at once. Ruled out: CPU (0.35 s in the worst second), memory (18 MB), late reading. At fault: listener.py (one limit for all), session.py (SILENT_S; bytes before UP kept in _early and passed on), calls.py (a second of reading for whoever sends without end). Now: Room gives requests their budget and lets connections that have not asked hold a third, the oldest silent shed first; Opening allows 2 s in all and never cancels a read, so that late bytes count; bytes before UP are one ERR; what a bad peer still sends is read for 0.25 s and 1 MB at most; open ids are never forgotten, d and h beyond belief are errors. Conclusion: idle connections no longer shut usual clients out; bad requests with an id open at the other proxy still cost two ejections each.

--- a/stoatgw/__main__.py
+++ b/stoatgw/__main__.py
@@ -16,6 +16,7 @@
 from stoatgw.backends.probe import Columns, Prober
 from stoatgw.clients.house import House
 from stoatgw.clients.listener import Listener
+from stoatgw.clients.room import Room
 from stoatgw.config.deployment import ConfigError, Deployment, load
 from stoatgw.director.director import Director
 from stoatgw.director.list import ListReader
@@ -88,7 +89,8 @@
         log,
         counters,
     )
-    house = House(deployment, owner, backends, clock, columns.row, counters, log)
+    room = Room(deployment.sockets)
+    house = House(deployment, owner, backends, clock, columns.row, counters, log, room)
     listener = Listener(house)
     loop.add_signal_handler(signal.SIGHUP, Reload(path, deployment, director, log, counters))
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
--- a/stoatgw/clients/house.py
+++ b/stoatgw/clients/house.py
@@ -8,6 +8,7 @@
 
 from stoatgw.backends.backend import Backends
 from stoatgw.backends.delays import Messages
+from stoatgw.clients.room import Room
 from stoatgw.config.deployment import Deployment
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import Req
@@ -15,23 +16,29 @@
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
-IDS_KEPT = 65_536
+IDS_KEPT = 16_384
 
 
 class RecentIds:
-    """The ids seen lately: an id is new for every connection, so one that comes again is not forwarded."""
+    """The ids that are open, and those that ended lately: an id is new for every connection, so one that
+    comes again is not forwarded."""
 
     def __init__(self, most: int = IDS_KEPT) -> None:
-        self._most, self._order, self._seen = most, deque[str](), set[str]()
+        self._most, self._open, self._order, self._ended = most, set[str](), deque[str](), set[str]()
 
     def fresh(self, name: str) -> bool:
-        if name in self._seen:
+        """Whether it never came before; it is open from now on, until `done`."""
+        if name in self._open or name in self._ended:
             return False
-        self._seen.add(name)
+        self._open.add(name)
+        return True
+
+    def done(self, name: str) -> None:
+        self._open.discard(name)
+        self._ended.add(name)
         self._order.append(name)
         if len(self._order) > self._most:
-            self._seen.discard(self._order.popleft())
-        return True
+            self._ended.discard(self._order.popleft())
 
 
 @dataclass(slots=True, eq=False)
@@ -53,6 +60,7 @@
     row: Callable[[dict[str, float]], tuple[float | None, ...]]
     counters: Counters
     log: EventLog
+    room: Room
     ids: RecentIds = field(default_factory=RecentIds)
     standing: dict[str, Standing] = field(default_factory=dict)
     draining: bool = False
--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -16,7 +16,6 @@
 
 BACKLOG = 4096
 PAUSE_S = 0.02  # after a failed accept, such as one for want of descriptors
-DESCRIPTORS_KEPT = 64  # for the listener, discovery, probes and the log
 WATCH_S, UNANSWERED_US = 0.25, 5_000_000
 DELAY_PART = 3  # message delays are told from a third of the shortest aim on
 
@@ -26,7 +25,6 @@
         self._house = house
         self._sock: socket.socket | None = None
         self._sessions: set[asyncio.Task[None]] = set()
-        self._most = max(1, (house.deployment.sockets - DESCRIPTORS_KEPT) // 2)
         aims = [profile.message_aim_us for profile in house.deployment.settings.profiles]
         self._tell_ms = min(aims) / 1000 / DELAY_PART
         self._told: set[str] = set()
@@ -63,11 +61,11 @@
             except OSError:
                 calls.close(sock)
                 continue
-            if len(self._sessions) >= self._most:
+            if not house.room.admits():
                 house.counters.add("connections_over_limit")
-                task = loop.create_task(calls.close_after(sock, busy(0), 0.2))
-            else:
-                task = loop.create_task(ClientSession(sock, house).run())
+                calls.turn_away(sock, busy(0))
+                continue
+            task = loop.create_task(ClientSession(sock, house).run())
             self._sessions.add(task)
             task.add_done_callback(self._sessions.discard)
 
--- /dev/null
+++ b/stoatgw/clients/opening.py
@@ -0,0 +1,99 @@
+"""A client connection before its request: the first line, within a bound of time and bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+from stoatgw.clients.house import House
+from stoatgw.lines.grammar import PING, PONG, Malformed, Open, busy, read_open
+from stoatgw.lines.splitter import LINE_CAP, Splitter
+
+PATIENCE_S = 2.0  # from accepting to a whole request, however its bytes trickle in and whatever PINGs come
+WAIT_MOST_MS = 3_600_000  # no client waits an hour for UP
+
+
+class Opening:
+    """Reads one request; `shed` ends the wait early, to make room for others."""
+
+    def __init__(self, sock: socket.socket, house: House) -> None:
+        self._sock, self._house = sock, house
+        self._buffer = bytearray(LINE_CAP)
+        self._splitter = Splitter()
+        self._began = False  # any byte came
+        self._over = False  # its time is up
+        self._answering = False
+
+    def silent(self) -> bool:
+        """Whether nothing has come, not even bytes that we have not read yet."""
+        return not self._began and not self._unread()
+
+    def _unread(self) -> bool:
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+    def shed(self) -> None:
+        """Time is up. Bytes that have come are read all the same, in case that we are late.
+
+        Ending our reading wakes whoever reads; to cancel the read instead could lose what it had read.
+        """
+        self._over = True
+        with contextlib.suppress(OSError):
+            if self._answering:  # and nobody reads the answers
+                self._sock.shutdown(socket.SHUT_RDWR)
+            elif not self._unread():
+                self._sock.shutdown(socket.SHUT_RD)
+
+    async def request(self) -> Open | Malformed | None:
+        """The request, or why there is none; None if the client leaves or says nothing."""
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(PATIENCE_S, self.shed)
+        try:
+            while True:
+                count = await loop.sock_recv_into(self._sock, self._buffer)
+                found = await self._read(count) if count else None
+                if found is not None:
+                    return found
+                if self._over and self._began:
+                    self._house.counters.add("clients_too_slow")
+                    return Malformed("no request in time")
+                if not count:
+                    return None
+        finally:
+            timer.cancel()
+
+    async def _read(self, count: int) -> Open | Malformed | None:
+        self._began = True
+        lines = self._splitter.feed(memoryview(self._buffer)[:count])
+        while lines and lines[0] == PING:
+            self._house.counters.add("pings")
+            # PONG lets clients in: not while draining, and not before the first list.
+            ready = self._house.backends.known and not self._house.draining
+            self._answering = True
+            await asyncio.get_running_loop().sock_sendall(self._sock, PONG + b"\r\n" if ready else busy(0))
+            self._answering = False
+            lines = lines[1:]
+        if lines:
+            return self._judge(lines)
+        return Malformed("the line is too long") if self._splitter.overlong else None
+
+    def _judge(self, lines: list[bytes]) -> Open | Malformed:
+        opened = read_open(lines[0])
+        if isinstance(opened, Malformed):
+            return opened
+        if len(lines) > 1 or self._splitter.rest or self._splitter.overlong:
+            # A client waits for UP after its line: what comes with it was meant for no session server.
+            return Malformed("more came before UP")
+        if opened.profile not in self._house.classes:
+            return Malformed("class is unknown")
+        if opened.at is None and opened.wait_ms > WAIT_MOST_MS:  # one that stood before waits for good
+            return Malformed("field d is beyond belief")
+        if not self._house.ids.fresh(opened.request):
+            return Malformed("the id came before")
+        return opened
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -11,18 +11,16 @@
 from stoatgw.backends.delays import Messages
 from stoatgw.backends.fetch import BUFFER, Fetch
 from stoatgw.clients.house import House, Standing
+from stoatgw.clients.opening import Opening
 from stoatgw.decisions.interface import NoteKind, Request, Status
 from stoatgw.lines.grammar import (
     MOVE,
-    PING,
-    PONG,
     Malformed,
     Open,
     Word,
     busy,
     error,
     read_number,
-    read_open,
     read_reply,
 )
 from stoatgw.lines.splitter import Splitter
@@ -39,8 +37,9 @@
 )
 from stoatgw.sockets import calls
 
-SILENT_S = 10.0  # a client that sends no whole line for so long is let go
-EARLY_CAP = 65_536  # bytes kept that a client sends before it is up
+LINGER_S = 1.0  # a peer has so long to end its side after ours has ended
+ANSWERED_LINGER_S = 0.25  # and after a refusal or an error, which nothing on its way can follow
+EARLY_CAP = 65_536  # bytes kept that a client sends while UP is on its way to it
 BOUNDARY_S = 0.5  # a MOVE waits so long for the end of a line under way
 RESTORE_S, RESTORE_DIAL_US, RESTORE_PAUSE_S = 39.0, 2_000_000, 0.1
 UNTIMED = (Word.LOAD, Word.MOVE, Word.BYE)  # lines that answer no line of the client
@@ -51,10 +50,14 @@
 
     ANSWERED = "answered"
     CLIENT_LEFT = "client_left"
+    UNRULY = "unruly"  # it did not wait for UP
     BACKEND_ENDED = "backend_ended"
     MOVED = "moved"
 
 
+GONE = (Cause.CLIENT_LEFT, Cause.UNRULY)  # the decisions owe nothing any more
+
+
 @dataclass(frozen=True, slots=True)
 class End:
     cause: Cause
@@ -65,12 +68,13 @@
 class ClientSession:
     def __init__(self, sock: socket.socket, house: House) -> None:
         self._sock, self._house = sock, house
-        self._buffer = bytearray(BUFFER)
-        self._splitter = Splitter()  # for the first line
+        self._opening = Opening(sock, house)
+        house.room.waits(self._opening)
         self._asking = Splitter()  # for the lines after UP
         self._end: asyncio.Future[End] = asyncio.get_running_loop().create_future()
         self._req: Req | None = None
         self._open: Open | None = None
+        self._up = False  # UP is on its way to the client, or has come there
         self._early = bytearray()
         self._fetch: Fetch | None = None  # the one that is up
         self._fetching: asyncio.Task[None] | None = None
@@ -80,18 +84,31 @@
         self._given_up = Status.REVOKED
 
     async def run(self) -> None:
-        counters = self._house.counters
+        counters, room, taken = self._house.counters, self._house.room, False
+        opened: Open | Malformed | None = None
         try:
-            line = await self._first_line()
-            if line is None:
-                calls.close(self._sock)
+            opened = await self._opening.request()
+            room.opened(self._opening)
+            if opened is None:
+                # BUSY: a request that crosses it on the way has its answer, and may be repeated.
+                calls.turn_away(self._sock, busy(0))
+                return
+            if isinstance(opened, Malformed):
+                counters.add("requests_malformed")
+                await calls.close_after(self._sock, error(opened.why), ANSWERED_LINGER_S)
+                return
+            taken = room.take()
+            if not taken:
+                counters.add("requests_over_limit")
+                await calls.close_after(self._sock, busy(0), ANSWERED_LINGER_S)
                 return
-            end = await self._serve(line)
+            end = await self._serve(opened)
             counters.add(f"sessions_{end.cause.value}")
             if end.reset:
                 calls.close(self._sock, reset=True)
             else:
-                await calls.close_after(self._sock, end.line)
+                answered = end.cause in (Cause.ANSWERED, Cause.UNRULY)
+                await calls.close_after(self._sock, end.line, ANSWERED_LINGER_S if answered else LINGER_S)
         except OSError:
             counters.add("sessions_broken")
             calls.close(self._sock)
@@ -101,43 +118,13 @@
             calls.close(self._sock)
         finally:
             calls.close(self._sock)
+            room.opened(self._opening)
+            if taken:
+                room.leave()
+            if isinstance(opened, Open):
+                self._house.ids.done(opened.request)
 
-    async def _first_line(self) -> bytes | None:
-        """The first line that is no PING; None if the client leaves or says nothing."""
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(SILENT_S):
-                while True:
-                    count = await loop.sock_recv_into(self._sock, self._buffer)
-                    if not count:
-                        return None
-                    lines = self._splitter.feed(memoryview(self._buffer)[:count])
-                    while lines and lines[0] == PING:
-                        self._house.counters.add("pings")
-                        # PONG lets clients in: not while draining, and not before the first list.
-                        ready = self._house.backends.known and not self._house.draining
-                        await loop.sock_sendall(self._sock, PONG + b"\r\n" if ready else busy(0))
-                        lines = lines[1:]
-                    if lines:
-                        for later in lines[1:]:
-                            self._early += later + b"\r\n"
-                        self._early += self._splitter.rest
-                        return lines[0]
-                    if self._splitter.overlong:
-                        return b""
-        except TimeoutError:
-            self._house.counters.add("clients_silent")
-            return None
-
-    async def _serve(self, line: bytes) -> End:
-        opened = read_open(line) if not self._splitter.overlong else Malformed("the line is too long")
-        if isinstance(opened, Open) and opened.profile not in self._house.classes:
-            opened = Malformed("class is unknown")
-        if isinstance(opened, Open) and not self._house.ids.fresh(opened.request):
-            opened = Malformed("the id came before")
-        if isinstance(opened, Malformed):
-            self._house.counters.add("requests_malformed")
-            return End(Cause.ANSWERED, error(opened.why))
+    async def _serve(self, opened: Open) -> End:
         self._open = opened
         loop, owner = asyncio.get_running_loop(), self._house.owner
         req = self._req = self._ask(opened)
@@ -153,12 +140,10 @@
         finally:
             # A socket may be closed only once no task waits on it.
             await _stop(reader)
+            if not self._end.done() or self._end.result().cause in GONE:
+                owner.put(ClientLeft(req))
             if self._fetching is not None:
-                if not self._end.done() or self._end.result().cause is Cause.CLIENT_LEFT:
-                    owner.put(ClientLeft(req))
                 await _stop(self._fetching)
-            elif not self._end.done() or self._end.result().cause is Cause.CLIENT_LEFT:
-                owner.put(ClientLeft(req))
         return end
 
     def _ask(self, opened: Open) -> Req:
@@ -304,6 +289,7 @@
         house = self._house
         house.counters.add("answers_up")
         house.standing[req.asked.request] = Standing(req, server, self._messages, self.give_up)
+        self._up = True
         await self.pass_on(fetch.receipt)
         while self._early:  # more may come while these are sent
             data = bytes(self._early)
@@ -346,10 +332,15 @@
         self._messages.ask(lines, self._house.clock.now_us())
 
     async def _read_client(self) -> None:
-        loop = asyncio.get_running_loop()
+        loop, buffer = asyncio.get_running_loop(), bytearray(BUFFER)
         try:
-            while count := await loop.sock_recv_into(self._sock, self._buffer):
-                data = bytes(memoryview(self._buffer)[:count])
+            while count := await loop.sock_recv_into(self._sock, buffer):
+                data = bytes(memoryview(buffer)[:count])
+                if not self._up:
+                    # Guards against commands sent before the answer being served as though they were a
+                    # session: a client waits for UP.
+                    self._finish(End(Cause.UNRULY, error("more came before UP")))
+                    return
                 if self._fetch is None:
                     self._early += data
                     if len(self._early) > EARLY_CAP:
--- a/stoatgw/lines/grammar.py
+++ b/stoatgw/lines/grammar.py
@@ -70,8 +70,8 @@
     if b"g" in fields and not _HEX.match(fields[b"g"]):
         return Malformed("field g is not hex")
     hint = read_number(text["h"]) if "h" in text else None
-    if "h" in text and hint is None:
-        return Malformed("field h is no number")
+    if "h" in text and (hint is None or hint < 0):
+        return Malformed("field h is no number, or under 0")
     if any(text.get(flag, "0") not in ("0", "1") for flag in ("r", "again")):
         return Malformed("field r or again is neither 0 nor 1")
     return Open(
