Read LOAD as the message delay where the settings tell delays and no loads

Checked: settings say tells_load false, tells_delay true; the module passes over LOAD notes. Ruled out: our own timing of lines, which the servers answer at once at any load. At fault: ClientSession.heard told every LOAD as NoteKind.LOAD.

--- a/stoatgw/clients/house.py
+++ b/stoatgw/clients/house.py
@@ -10,6 +10,7 @@
 from stoatgw.backends.delays import Messages
 from stoatgw.clients.room import Room
 from stoatgw.config.deployment import Deployment
+from stoatgw.decisions.interface import NoteKind
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import Req
 from stoatgw.owner.owner import Owner
@@ -71,6 +72,12 @@
             profile.name: index for index, profile in enumerate(self.deployment.settings.profiles)
         }
 
+    @property
+    def load_means(self) -> NoteKind:
+        """What a backend's LOAD line tells, by the settings alone: see docs/status.md."""
+        deployment = self.deployment
+        return NoteKind.DELAY if deployment.tells_delay and not deployment.tells_load else NoteKind.LOAD
+
     def by_server(self) -> Iterator[tuple[str, list[Standing]]]:
         servers: dict[str, list[Standing]] = {}
         for standing in self.standing.values():
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -12,7 +12,7 @@
 from stoatgw.backends.fetch import BUFFER, Fetch
 from stoatgw.clients.house import House, Standing
 from stoatgw.clients.opening import Opening
-from stoatgw.decisions.interface import NoteKind, Request, Status
+from stoatgw.decisions.interface import Request, Status
 from stoatgw.lines.grammar import (
     MOVE,
     Malformed,
@@ -313,7 +313,7 @@
             if reply.word is Word.LOAD and self._req is not None:
                 value = read_number(reply.rest)
                 if value is not None:
-                    house.owner.put(Heard(self._req, NoteKind.LOAD, value))
+                    house.owner.put(Heard(self._req, house.load_means, value))
             elif reply.word not in UNTIMED:
                 self._messages.answer(line, now_us)
 
--- a/stoatgw/config/deployment.py
+++ b/stoatgw/config/deployment.py
@@ -43,6 +43,7 @@
     dial_timeout_us: int
     idle_us: int
     tells_delay: bool
+    tells_load: bool
 
 
 def load(path: str) -> Deployment:
@@ -80,6 +81,7 @@
         dial_timeout_us=_whole(pairs.get("bounds.dial_timeout_us", "250000"), "bounds.dial_timeout_us"),
         idle_us=_whole(pairs.get("bounds.conn_idle_us", "5000000"), "bounds.conn_idle_us"),
         tells_delay=pairs.get("domain.tells_delay") == "true",
+        tells_load=pairs.get("domain.tells_load") == "true",
     )
 
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -17,9 +17,9 @@
 from stoatgw.clients.listener import Listener
 from stoatgw.clients.room import Room
 from stoatgw.config.deployment import Address, read
-from stoatgw.decisions.interface import ListKind, ListUpdate, ServerEntry
+from stoatgw.decisions.interface import ListKind, ListUpdate, NoteKind, ServerEntry
 from stoatgw.owner.clock import Clock
-from stoatgw.owner.messages import Drain, Listed
+from stoatgw.owner.messages import Drain, Heard, Listed, Message
 from stoatgw.owner.owner import Owner
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
@@ -336,3 +336,35 @@
         assert ids.fresh(name) and not ids.fresh(name)
         ids.done(name)
     assert [ids.fresh(name) for name in ("a", "b", "c", "open")] == [True, False, False, False]
+
+
+@pytest.mark.parametrize(
+    ("tells", "means"),
+    [((True, False), NoteKind.DELAY), ((False, False), NoteKind.LOAD), ((True, True), NoteKind.LOAD)],
+)
+def test_a_load_line_means_what_the_settings_tell(tells: tuple[bool, bool], means: NoteKind) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP 1\r\nLOAD 320\r\n")
+        await reader.read()
+        writer.close()
+
+    async def test(proxy: Proxy) -> None:
+        heard: list[Heard] = []
+        put = proxy.owner.put
+
+        def listen(message: Message) -> None:
+            if isinstance(message, Heard):
+                heard.append(message)
+            put(message)
+
+        proxy.owner.put = listen  # type: ignore[method-assign]
+        domain = {"tells_delay": tells[0], "tells_load": tells[1]}
+        proxy.house.deployment = read(CONFIG | {"settings": CONFIG["settings"] | {"domain": domain}})
+        _, writer = await proxy.ask()
+        while not heard:
+            await asyncio.sleep(0.01)
+        assert [(each.kind, each.value) for each in heard] == [(means, 320.0)]
+        writer.close()
+        await proxy.settle()
+
+    play(serve, test)
