Hear the lines that come in one piece with UP

Seen: the new test of LOAD lines hung; a toy backend that writes UP and LOAD in one piece has its LOAD passed to the client but never told to the module. At fault: Fetch._first kept only the last word of the lines after UP. Conclusion: relay hears them first; a BYE in the same piece still counts as served to its end.

--- a/stoatgw/backends/fetch.py
+++ b/stoatgw/backends/fetch.py
@@ -40,6 +40,7 @@
         self._buffer = bytearray(BUFFER)
         self._splitter = Splitter()
         self._last = Word.OTHER
+        self._with_up: list[bytes] = []  # whole lines that came in one piece with UP
         self.stage = Stage.CONNECTING
         self.receipt = b""  # the UP line and what came with it, as it came
         self.reset = False  # the backend ended with a reset
@@ -82,8 +83,7 @@
                 reply = read_reply(lines[0])
                 if reply.word is Word.UP:
                     self.stage = Stage.UP
-                    for later in lines[1:]:
-                        self._last = read_reply(later).word
+                    self._with_up = lines[1:]
                     return None
                 status = REFUSALS.get(reply.word, Status.APP_ERROR)
                 return self._end(status, lines[0][:60].decode("ascii", "replace"), reply.report)
@@ -94,12 +94,10 @@
         """Pass all on until the backend ends the connection."""
         loop = asyncio.get_running_loop()
         try:
+            self._hear(self._with_up, listener)
             while count := await loop.sock_recv_into(self._sock, self._buffer):
                 data = bytes(memoryview(self._buffer)[:count])
-                lines = self._splitter.feed(data)
-                if lines:
-                    self._last = read_reply(lines[-1]).word
-                    listener.heard(lines)
+                self._hear(self._splitter.feed(data), listener)
                 await listener.pass_on(data)
         except OSError as error:
             self.reset = True
@@ -108,6 +106,11 @@
         ended = {Word.BYE: Status.DELIVERED, Word.MOVE: Status.REVOKED}
         return self._end(ended.get(self._last, Status.DROPPED), "ended by the backend")
 
+    def _hear(self, lines: list[bytes], listener: Listener) -> None:
+        if lines:
+            self._last = read_reply(lines[-1]).word
+            listener.heard(lines)
+
     async def send(self, data: bytes) -> None:
         await asyncio.get_running_loop().sock_sendall(self._sock, data)
 
