Date reports rightly, cap set-ups at a server, keep groups together, judge errors fairly

Checked: every refusal logged with each server's n, load, r, report age, ejection. The site's reports are refreshed within 450 ms and 140 ms late, so 1.5 s of own placements were counted twice after each report. Ruled out: the set-up window (200 until set-ups fail), CPU. At fault: NEWS_US in _drop_shown; _choose without a bound on set-ups at one server; _judge on each APP_ERROR; the group's cost never weighed between servers. Tried and left: peers' placements scaled by the report's age (no gain, and it thins the guard against bursts); all servers of a zone compared (herds).

--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -22,15 +22,19 @@
 CANDIDATES = 2  # passing servers that are compared, at least
 EXAMINED = 12  # servers of the own zone, and of the others, that one decision looks at, at most
 MARGIN = 0.8  # the paper's tau
+GROUP_PULL = 0.05  # load by which a server that holds the connection's group is preferred: it costs less
 SPILL = 0.6  # load up to which the own zone, then settled servers, are filled first
 LOW_WORTH_CUT = 0.4  # part of the margin that a connection of no worth forgoes
 RATE_SPREAD = 4.0  # a server's r is believed up to so many times over or under the fleet's
-NEWS_US = 1_500_000  # a report shows its server as it was so long before; a delay note counts so long
+SHOWN_US = 700_000  # a report shows its server as it was so long before, at most
+NEWS_US = 1_500_000  # a delay note counts so long
 UNITS_MIN, UNITS_MAX = 0.2, 8.0  # believed range of one connection's load, in mean connections
 REPORT_FRESH_US = 3_000_000  # a reported load over 1 closes a server for so long
 RELIEF_PART = 10  # one in so many connections is moved off a server at each late message
 TRIES = 2  # the first try and one more
 GUARD_US = 1_000  # an answer leaves so long, and two batches, before the end
+ERRORS = 2  # first tries in a row that draw an error, with none served between, show a failing server
+SETUPS_EACH = 16  # own set-ups under way at one server
 SETUPS_MIN, SETUPS_MAX, SETUPS_CUT = 2.0, 200.0, 0.7  # window of own set-ups; a failed one shrinks it
 EJECT_MOST = 4  # a failing server is left out for 1, 2, then so many periods
 COLD_CAUTION = 0.5  # used part of a cold server's budget; the rest covers what is not known
@@ -179,7 +183,7 @@
         self._fleet.rate = self._fleet.rate or rate
 
     def _drop_shown(self, server: Server) -> None:
-        server.unshown = [change for change in server.unshown if change[0] > self._now_us - NEWS_US]
+        server.unshown = [change for change in server.unshown if change[0] > self._now_us - SHOWN_US]
 
     def _rate(self, server: Server) -> float:
         """r: the mean of the server's samples; without a fresh one, that of its kind, then the fleet's."""
@@ -235,6 +239,7 @@
         server.groups[connection.asked.group] += 1
         server.mine[connection.asked.request] = connection
         self._own.under_way += not connection.standing
+        server.under_way += not connection.standing
         self._own.placed[0] += connection.units * (sent_us > 0)
         server.unshown.append((sent_us, connection.units))
 
@@ -245,6 +250,7 @@
             del server.groups[connection.asked.group]
         del server.mine[connection.asked.request]
         self._own.under_way -= not connection.standing
+        server.under_way -= not connection.standing
         # A placement that failed leaves n at once; a standing one leaves it from now on.
         since_us = self._now_us if connection.standing else connection.sent_us
         server.unshown.append((since_us, -connection.units))
@@ -261,9 +267,13 @@
         connection = self._connections.get(event.request)
         if connection is not None and connection.server is not None:
             self._own.under_way -= not connection.standing
+            connection.server.under_way -= not connection.standing
             connection.standing = True
             self._own.window = min(SETUPS_MAX, self._own.window + 1.0)
             connection.server.setup_failures = connection.server.ejected_until_us = 0
+            connection.server.errors = 0
+            if connection.erred is not None:
+                self._judge(connection.erred, Status.APP_ERROR)  # another served it: the server's fault
 
     def _on_outcome(self, event: api.Outcome) -> None:
         connection = self._connections.get(event.request)
@@ -276,7 +286,10 @@
             if event.status is Status.DELIVERED or connection.moving or not connection.standing:
                 self._own.placed[0] -= connection.units
             self._take_report(server, event.report)
-            if not connection.standing:
+            if not connection.standing and event.status is Status.APP_ERROR:
+                # A bad client's request draws an error anywhere: it took two good servers out each time.
+                connection.erred, server.errors = server, server.errors + (connection.erred is None)
+            if not connection.standing and (event.status is not Status.APP_ERROR or server.errors >= ERRORS):
                 self._judge(server, event.status)
             elif event.status is Status.REVOKED and not connection.moving:
                 # It sends its clients away: it drains, seconds before the list says so.
@@ -394,9 +407,11 @@
         # Those just started are few for each balancer, and a random draw would hardly ever meet them.
         for servers in (self._fleet.filling, self._fleet.near, self._fleet.far):
             found, first = 0, int(self._random.random() * len(servers))
-            for server in [*servers[first:], *servers[:first]][:EXAMINED]:
+            drawn = [*servers[first:], *servers[:first]][:EXAMINED]
+            for server in sorted(drawn, key=lambda server: self._units_on(server, connection)):
                 out = self._fleet.heed_ejection and server.ejected_until_us > self._now_us
                 out = out or server is leaving or server.entry.server in connection.tried
+                out = out or server.under_way >= SETUPS_EACH
                 if out or not self._in_scope(connection, server):
                     continue
                 units, known = self._units_on(server, connection), self._fleet.rate is not None
@@ -406,7 +421,8 @@
                     continue
                 unheard = known and server.probed is None and not self._by_weight(server)
                 over_spill, last_choice = known and pressure >= SPILL, unheard or server.probe_failures > 1
-                key = (over_spill, last_choice, not over_spill and servers is self._fleet.far, pressure)
+                cost = pressure - GROUP_PULL * (units <= connection.units)
+                key = (over_spill, last_choice, not over_spill and servers is self._fleet.far, cost)
                 best, best_key = (server, key) if key < best_key else (best, best_key)
                 found += not (over_spill or last_choice)
                 if found == wanted:
--- a/stoatgw/decisions/records.py
+++ b/stoatgw/decisions/records.py
@@ -27,6 +27,8 @@
     asked_us: int = -(10**9)  # when it was last probed
     probe_failures: int = 0  # in a row
     setup_failures: int = 0  # in a row
+    under_way: int = 0  # own set-ups under way on it
+    errors: int = 0  # first tries in a row that drew an error
     ejected_until_us: int = 0
     delay_load: float = 0.0  # load that the last message-delay note stands for
     delayed_us: int = -(10**9)  # when that note came
@@ -45,6 +47,7 @@
     standing: bool = False
     moving: bool = False  # asked to leave its server
     abandoned: bool = False  # the client has gone
+    erred: Server | None = None  # the server that answered the last try with an error
     first_run: tuple[ServerEntry, int] | None = None  # first attempt that may have run, when sent
 
 
