Move nobody in a drain until newcomers stop coming, and tell those when to return

Checked: counters at the end of both proxies' drains; ruled out: clients cut off without MOVE (none), the program's end (1.2 s after SIGTERM, killed after 2.7 s at the soonest). At fault: Owner._drain (first MOVE at once), Owner._arrived (BUSY without advice).

--- a/stoatgw/__main__.py
+++ b/stoatgw/__main__.py
@@ -26,7 +26,7 @@
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
-DRAIN_LEAST_S, DRAIN_MOST_S = 1.0, 2.4  # newcomers come for 0.4 s more; killed after 2.7 s at the soonest
+DRAIN_LEAST_S, DRAIN_MOST_S = 1.0, 2.5  # newcomers come for 0.4 s more; killed after 2.7 s at the soonest
 
 
 class Backstage:
--- a/stoatgw/owner/messages.py
+++ b/stoatgw/owner/messages.py
@@ -136,8 +136,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Drain:
-    """The proxy is asked to stop."""
+    """The proxy is asked to stop: once no newcomers come any more, all are moved one by one."""
 
+    newcomers_us: int = field(default=400_000)  # they come for so long
     over_us: int = field(default=1_200_000)
 
 
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -70,7 +70,7 @@
         self._reqs: dict[str, Req] = {}
         self._balancer = Balancer(settings, seed)
         self._lists: dict[str, ListUpdate] = {}
-        self._draining = False
+        self._draining, self._newcomers_until_us = False, 0
         self._fleet: Fleet | None = None
         self._now_us = 0
 
@@ -144,8 +144,8 @@
                     self._counters.add("answers_overdue")
                     self._tell(ClientGone(req.asked.request))
                     self._fail(req)
-            case Drain(over_us):
-                self._drain(over_us)
+            case Drain(newcomers_us, over_us):
+                self._drain(newcomers_us, over_us)
 
     def _tell(self, event: Event) -> None:
         self._perform(self._balancer.handle(event, self._now_us))
@@ -153,7 +153,7 @@
     def _arrived(self, req: Req) -> None:
         request = req.asked.request
         if self._draining:
-            self._refuse(req, 0)
+            self._refuse(req, self._elsewhere_us())
             return
         self._reqs[request] = req
         asyncio.get_running_loop().call_later(
@@ -249,19 +249,26 @@
         req.door.fail()
         self._forget(req)
 
-    def _drain(self, over_us: int) -> None:
-        """Asked to stop: those who wait are answered now, those who stand are moved one by one."""
+    def _elsewhere_us(self) -> int:
+        """Advice to come again once newcomers are led to other proxies: sooner would mean this one again."""
+        left_us = min(self._newcomers_until_us - self._now_us, self._settings.max_retry_after_us)
+        return max(0, left_us) if self._settings.can_advise_retry_after else 0
+
+    def _drain(self, newcomers_us: int, over_us: int) -> None:
+        """Asked to stop: those who wait are answered now, those who stand are moved one by one, but not
+        before newcomers stop coming here: a client moved earlier would come back and be refused."""
         self._draining = True
+        self._newcomers_until_us = self._now_us + newcomers_us
         standing = [req for req in self._reqs.values() if req.up]
         for req in [req for req in self._reqs.values() if not req.answered]:
             profile = self._settings.profiles[req.asked.profile]
             if req.attempts == 0 or profile.idempotency is Idempotency.RETRYABLE:
-                self._refuse(req, 0)
+                self._refuse(req, self._elsewhere_us())
             else:
                 self._fail(req)
         loop = asyncio.get_running_loop()
         for place, req in enumerate(standing):
-            loop.call_later(over_us / 1e6 * place / len(standing), req.door.move)
+            loop.call_later((newcomers_us + over_us * place / len(standing)) / 1e6, req.door.move)
 
     def _recover(self, error: Exception) -> None:
         """A fault of the decisions: answer whoever waits without a fetch, begin again with what stands."""
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -156,7 +156,7 @@
     async def play(stand: Stand) -> None:
         await stand.servers("a", "b")
         (waits, one), (stands, two), (comes, three) = stand.req(), stand.req(), stand.req()
-        await stand.take(Arrived(waits), Stood(stands, "a"), Drain(0), Arrived(comes))
+        await stand.take(Arrived(waits), Stood(stands, "a"), Drain(0, 0), Arrived(comes))
         await asyncio.sleep(0.01)
         assert one.told[1:] == [("busy", 0)] and two.told == ["move"] and three.told == [("busy", 0)]
         await stand.take(FetchUp(waits, 0))
@@ -165,6 +165,21 @@
     drive(play)
 
 
+def test_nobody_is_moved_while_newcomers_still_come_here() -> None:
+    # Guards against clients moved at once, who came back to the proxy that leaves and were refused.
+    async def play(stand: Stand) -> None:
+        await stand.servers("a")
+        (stands, one), (comes, two) = stand.req(), stand.req()
+        await stand.take(Stood(stands, "a"), Drain(200_000, 0), Arrived(comes))
+        (word, advice_us) = two.told[0]
+        assert word == "busy" and 0 < int(advice_us) <= 200_000 and not one.told
+        while not one.told:
+            await asyncio.sleep(0.01)
+        assert one.told == ["move"] and stand.owner._elsewhere_us() == advice_us
+
+    drive(play)
+
+
 def test_the_answer_is_given_when_the_time_is_up_whatever_the_decisions_do() -> None:
     async def play(stand: Stand) -> None:
         await stand.servers("a")
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -196,7 +196,7 @@
         standing = [await proxy.ask() for _ in range(5)]
         for reader, _ in standing:
             assert await reader.readline() == b"UP 77\r\n"
-        proxy.owner.put(Drain(10_000))
+        proxy.owner.put(Drain(0, 10_000))
         for reader, writer in standing:
             assert await reader.read() == b"MOVE\r\n"
             writer.close()
