Relieve a server by how late its messages are; expect no returning clients of peers

Checked: LOAD lines and refusals logged with n, load, r and age of each server: n was doubled by what the draining peer was taken to place. Ruled out: set-ups that time out (none), connections over the limit (none). At fault: _relieve's fixed part; _held's estimate of the peers, which counted clients that a peer's drain had sent here.

--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -30,7 +30,8 @@
 NEWS_US = 1_500_000  # a delay note counts so long
 UNITS_MIN, UNITS_MAX = 0.2, 8.0  # believed range of one connection's load, in mean connections
 REPORT_FRESH_US = 3_000_000  # a reported load over 1 closes a server for so long
-RELIEF_PART = 10  # one in so many connections is moved off a server at each late message
+RELIEF_PART = 10  # one in so many connections is moved off a server at a message as late as its aim;
+RELIEF_MOST = 0.2  # more where it is later still, up to this part: work of seconds is piled up there
 TRIES = 2  # the first try and one more
 GUARD_US = 1_000  # an answer leaves so long, and two batches, before the end
 ERRORS = 2  # first tries in a row that draw an error, with none served between, show a failing server
@@ -240,7 +241,8 @@
         server.mine[connection.asked.request] = connection
         self._own.under_way += not connection.standing
         server.under_way += not connection.standing
-        self._own.placed[0] += connection.units * (sent_us > 0)
+        # One that comes back from a peer's drain is not one that the peers place as well.
+        self._own.placed[0] += connection.units * (sent_us > 0 and not connection.asked.returned)
         server.unshown.append((sent_us, connection.units))
 
     def _detach(self, connection: Connection, server: Server) -> None:
@@ -328,15 +330,15 @@
             # The fastest sign of overload: a delay as long as the shortest aim is a full server.
             server.delay_load, server.delayed_us = MARGIN * event.value / self._aim_ms, self._now_us
             if event.value >= self._aim_ms:
-                self._relieve(server)
+                self._relieve(server, min(RELIEF_MOST, event.value / self._aim_ms / RELIEF_PART))
 
-    def _relieve(self, server: Server) -> None:
+    def _relieve(self, server: Server, part: float = 1 / RELIEF_PART) -> None:
         """Move a few off a server whose messages are too late, while another has room or it is overfull."""
         held = [c for c in server.mine.values() if c.standing and not c.moving]
         held.sort(key=lambda c: (self._worth(c), -c.units))
         load = server.load * self._held(server) / server.probed if server.probed else 0.0
         # A part of one is left to chance: one each at least is all of them where many balancers act.
-        for connection in held[: int(len(held) / RELIEF_PART + self._random.random())]:
+        for connection in held[: int(len(held) * part + self._random.random())]:
             if load < MARGIN and self._choose(connection, SPILL, server) is None:
                 return
             connection.moving = True
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -525,3 +525,33 @@
     assert stand.sent_to() == "a"
     stand.ask(group=8)
     assert stand.sent_to() == "b"
+
+
+@pytest.mark.parametrize(("delay_ms", "least", "most"), [(60.0, 1, 2), (90.0, 1, 3), (6_000.0, 4, 5)])
+def test_the_later_the_messages_the_more_leave(delay_ms: float, least: int, most: int) -> None:
+    # Guards against seconds of piled up work that a tenth at a time took ten seconds to come off.
+    stand = Stand()
+    stand.fleet(a=0, b=0)
+    stand.report("a", 0.10, 10)
+    stand.report("b", 0.50, 10)
+    for index in range(20):
+        stand.ask(request=f"e{index:015x}")
+        stand.begin(f"e{index:015x}", "a")
+    stand.report("b", 0.05, 10)
+    stand.late("e" + "0" * 15, "a", delay_ms)
+    assert least <= len(stand.of(Move)) <= most
+
+
+def test_clients_sent_here_by_a_peers_drain_are_not_expected_of_the_peers_too() -> None:
+    # Guards against refusals at half the load while one of two proxies restarts.
+    def admitted(returned: bool) -> int:
+        stand = Stand(settings(balancers=2))
+        stand.fleet(a=0)
+        stand.report("a", 0.36, 18)
+        while True:
+            stand.ask(returned=returned)
+            if stand.of(Refuse):
+                return stand.asked - 1
+            stand.begin(f"{stand.asked:016x}", "a")
+
+    assert (admitted(False), admitted(True)) == (11, 21)
