Probe on a refusal; take servers never heard from last, whatever their load looks

Checked: refusals with each server's n, load, r, report age, failures and ejection; LOAD lines (one server late once, 150 ms). Ruled out: overload, time-outs, connections over the limit. At fault: _choose put SPILL before not heard from, so that a broken, empty-looking server beat sound ones over 0.6; _judge narrowed the window on its errors; reports a second old while a peer's drain empties the servers.

--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -138,11 +138,13 @@
         self._own.probes_due = min(most, self._own.probes_due + max(PROBES_LEAST, due))
         self._sort_out()
 
-    def _probe_some(self) -> None:
-        """Probe those asked longest ago, the own zone more often, as the price allows."""
+    def _probe_some(self, least_us: int = 0) -> None:
+        """Probe those asked longest ago, and so long ago, the own zone more often, as the price allows."""
         # Every balancer asking every server each period once cost more than half of the service.
         settings, ages = self._settings, dict[str, float]()
         for server in self._fleet.ready:
+            if self._now_us - server.asked_us < least_us:
+                continue
             times = OWN_ZONE_FAVOUR if server.entry.zone == settings.zone else 1.0
             ages[server.entry.server] = times * (self._now_us - server.asked_us) * self._random.uniform(1, 3)
         count = int(self._own.probes_due) if settings.can_probe else 0
@@ -311,7 +313,8 @@
         if status is not Status.SHED:
             out_us = PERIOD_US * min(EJECT_MOST, 2**server.setup_failures)
             server.setup_failures += 1
-            if status is not Status.DIAL_FAILED:
+            # A server never heard from that errs is broken by itself: no shared cause, nothing to slow down.
+            if status is not Status.DIAL_FAILED and (status is not Status.APP_ERROR or server.reported_us):
                 # A slow shared store fails set-ups the more of them there are: start fewer at once.
                 self._own.window = min(self._own.window, self._own.under_way + 1.0)
                 self._own.window = max(SETUPS_MIN, self._own.window * SETUPS_CUT)
@@ -424,7 +427,7 @@
                 unheard = known and server.probed is None and not self._by_weight(server)
                 over_spill, last_choice = known and pressure >= SPILL, unheard or server.probe_failures > 1
                 cost = pressure - GROUP_PULL * (units <= connection.units)
-                key = (over_spill, last_choice, not over_spill and servers is self._fleet.far, cost)
+                key = (last_choice, over_spill, not over_spill and servers is self._fleet.far, cost)
                 best, best_key = (server, key) if key < best_key else (best, best_key)
                 found += not (over_spill or last_choice)
                 if found == wanted:
@@ -461,6 +464,7 @@
             after_us = min(PERIOD_US, settings.max_retry_after_us) * settings.can_advise_retry_after
             self._actions.append(api.Refuse(asked.request, after_us))
             self._log("refusing", "no server passes the admission test")
+            self._probe_some(SHOWN_US)  # what was believed may be behind what the servers hold by now
         else:
             self._actions.append(api.Fail(asked.request))
         self._end(connection)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,6 +8,7 @@
     Existing,
     ListKind,
     ListUpdate,
+    Log,
     Move,
     Probe,
     ProbeResult,
@@ -555,3 +556,36 @@
             stand.begin(f"{stand.asked:016x}", "a")
 
     assert (admitted(False), admitted(True)) == (11, 21)
+
+
+def test_a_server_never_heard_from_comes_after_all_that_pass() -> None:
+    # Guards against a broken server, which looks empty, being sent each client once others are over SPILL.
+    stand = Stand()
+    stand.fleet(a=0, b=0)
+    stand.report("a", 0.66, 33)
+    stand.ask()
+    assert stand.sent_to() == "a"
+
+
+@pytest.mark.parametrize("heard", [True, False])
+def test_errors_of_a_server_never_heard_from_slow_nobody_else_down(heard: bool) -> None:
+    stand = Stand()
+    stand.fleet(a=0, b=0)
+    if heard:
+        stand.report("b", 0.01, 1)
+    for _ in range(2):
+        stand.ask()
+        stand.ended(f"{stand.asked:016x}", str(stand.sent_to()), Status.APP_ERROR)
+    assert (stand.balancer._own.window < 200) == heard
+
+
+def test_a_refusal_asks_servers_how_they_stand() -> None:
+    # Guards against a storm being refused for a second by reports that its own drain has made untrue.
+    stand = Stand()
+    stand.fleet(a=0)
+    stand.report("a", 0.9, 45)
+    stand.ask()
+    assert [type(action) for action in stand.actions] == [Refuse, Log]  # asked just now
+    stand.now_us += SECOND * 8 // 10
+    stand.ask()
+    assert [type(action) for action in stand.actions] == [Refuse, Probe]
