--- /dev/null
+++ b/stoatgw/emulator/events.py
@@ -0,0 +1,83 @@
+"""The event log: what happened in a run, as seen from outside the proxies. One record a line, as JSON arrays.
+
+Both drivers write it; the checker and the tables read it. A record's text is short and its order of fields fixed:
+(time, what, proxy, req, server, number, detail).
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from enum import StrEnum
+from typing import BinaryIO
+
+import msgspec
+
+
+class What(StrEnum):
+    """What a record tells; `number` and `detail` mean what stands here."""
+
+    TAKEN = "taken"  # the proxy took a req; number: when its client's time is up, us
+    ANSWER = "answer"  # the proxy gave its final answer; detail: up, busy or err; number: advice, us
+    GONE = "gone"  # the req's client left before any answer
+    SENT = "sent"  # the first byte of an attempt's line leaves the proxy; number: attempt
+    RAN = "ran"  # the whole line has come at the server; number: attempt
+    ENDED = "ended"  # the attempt is no longer out; number: attempt; detail: how it ended
+    TOLD = "told"  # the proxy was told of a server; detail: SERVING, DRAINING or DELETED; number: its last start, us
+    STARTED = "started"  # a server process begins cold; number: units that fill it warm; detail: cold_from,cold_us
+    LIVE = "live"  # a server answers from now on
+    SILENT = "silent"  # a server answers nothing from now on
+    FELL = "fell"  # a cold server was pushed over
+    UP = "up"  # a connection stands at a server
+    MOVED = "moved"  # the proxy sent MOVE to a standing client
+    CUT = "cut"  # the proxy ended a standing connection without MOVE
+    OVER = "over"  # a standing connection is over for another reason; detail: which
+    PROXY = "proxy"  # detail: up, draining, stopped, killed, frozen or thawed
+    FAULT = "fault"  # a trouble of the scenario begins or ends; detail: which
+    HELD = "held"  # at the end: number of reqs that a proxy still knows though nothing of theirs is open
+    NOTE = "note"  # a fault inside the program; detail: its text
+
+
+class Event(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    t_us: int
+    what: What
+    proxy: str = ""
+    req: str = ""
+    server: str = ""
+    number: int = 0
+    detail: str = ""
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(Event)
+
+
+class EventSink:
+    """Hands records to its listeners, keeps a digest of them all, and writes them where a file is given."""
+
+    def __init__(self, listeners: tuple[Callable[[Event], None], ...] = (), file: BinaryIO | None = None) -> None:
+        self._listeners, self._file = listeners, file
+        self._hash = hashlib.sha256()
+        self.count = 0
+
+    def add(
+        self, t_us: int, what: What, proxy: str = "", req: str = "", server: str = "", number: int = 0,
+        detail: str = "",
+    ) -> None:  # fmt: skip
+        event = Event(t_us, what, proxy, req, server, number, detail)
+        line = _ENCODER.encode(event) + b"\n"
+        self._hash.update(line)
+        self.count += 1
+        if self._file is not None:
+            self._file.write(line)
+        for listener in self._listeners:
+            listener(event)
+
+    @property
+    def digest(self) -> str:
+        return self._hash.hexdigest()
+
+
+def read_line(line: bytes) -> Event:
+    """Raises msgspec.DecodeError on what is no record."""
+    return _DECODER.decode(line)
--- /dev/null
+++ b/stoatgw/emulator/virtual.py
@@ -0,0 +1,508 @@
+"""The virtual driver: the real owner and module of each proxy, in virtual time, before the modelled world.
+
+Only what touches sockets is modelled: doors (sessions), the fleet as a proxy sees it, the front and the clients.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+
+import numpy as np
+
+from stoatgw.backends.backend import Backends
+from stoatgw.config.settings import flatten, read_settings
+from stoatgw.decisions.balancer import Balancer
+from stoatgw.decisions.interface import (
+    Lifecycle,
+    ListKind,
+    ListUpdate,
+    NoteKind,
+    ServerEntry,
+    Settings,
+    Status,
+)
+from stoatgw.emulator import troubles
+from stoatgw.emulator.doors import Session
+from stoatgw.emulator.events import EventSink, What
+from stoatgw.emulator.kernel import Kernel, ProcessLoop
+from stoatgw.emulator.machine import Held, Life, Machine
+from stoatgw.emulator.population import Client
+from stoatgw.emulator.realm import Realm, Told, Uniforms
+from stoatgw.emulator.scenario import Scenario
+from stoatgw.owner.clock import Clock
+from stoatgw.owner.messages import Drain, Heard, Listed, Probed, Stood
+from stoatgw.owner.owner import Module, Owner
+from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import EventLog
+
+START_US = 1_700_000_000_000_000  # the virtual clock's first time: no run depends on the day it is made
+AFTER_US = 4_000_000  # a run goes on so long after its last arrival, until all is answered
+WATCH_US = 1_000_000  # delays are told once in so long, as the listener does
+DELAY_PART = 3
+PROBE_LIMIT_US = 500_000
+STATES = {"SERVING": Lifecycle.ON, "DRAINING": Lifecycle.FADING, "DELETED": Lifecycle.OFF}
+NEWCOMERS_US = (200_000, 400_000)  # after SIGTERM the front still sends newcomers for so long
+DRAIN_LEAST_US, DRAIN_MOST_US, DRAIN_LOOK_US = 1_000_000, 2_500_000, 20_000
+ADMIT_US = 100_000  # the front finds a proxy ready so long after its start
+
+Make = Callable[[Settings, int], Module]
+Policy = Callable[[Realm], Make]
+
+
+def module(_: Realm) -> Make:
+    """The project's own module, as in service."""
+    return Balancer
+
+
+class VirtualClock(Clock):
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+
+    def now_us(self) -> int:
+        return self._kernel.now_us()
+
+
+class SilentLog(EventLog):
+    """Faults of the program go into the run's log; all else is dropped."""
+
+    def __init__(self, name: str, realm: Realm) -> None:
+        super().__init__(name)
+        self._node, self._realm = name, realm
+
+    def event(self, event: str, **fields: object) -> None:
+        if event in ("decision_fault", "recovery_failed"):
+            self._realm.log(What.NOTE, self._node, detail=f"{event}: {str(fields.get('error'))[:200]}")
+
+
+@dataclass(eq=False)
+class Proxy:
+    """One modelled proxy process; a restart makes a new one under the same name."""
+
+    index: int
+    name: str
+    zone: int
+    loop: ProcessLoop
+    owner: Owner
+    backends: Backends
+    settings: Settings
+    draws: Uniforms
+    counters: Counters
+    task: asyncio.Task[None] | None = None
+    draining: bool = False
+    ended: bool = False
+    sessions: dict[str, Session] = field(default_factory=dict)
+    standing: dict[str, dict[str, Session]] = field(default_factory=dict)  # by server
+    probing: set[str] = field(default_factory=set)
+    late: set[str] = field(default_factory=set)
+
+
+class World:
+    """One virtual run. `Virtual(...).run()` plays it; what it shows is in `realm` and the figures here."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int, sink: EventSink, policy: Policy = module, shuffle: int | None = None
+    ) -> None:
+        ties = None if shuffle is None else np.random.default_rng(shuffle)
+        self.kernel = Kernel(START_US, ties)
+        self.clock = VirtualClock(self.kernel)
+        self.realm = Realm(scenario, seed, self.kernel, sink)
+        self._make = policy(self.realm)
+        self._starts = [0] * len(self.realm.proxies)
+        self.proxies: list[Proxy] = []
+        self._admitted: list[bool] = [True] * len(self.realm.proxies)
+        population = self.realm.population
+        self.clients = [Client(index, population, scenario.clients) for index in range(len(population))]
+        self._open: list[Session | None] = [None] * len(self.clients)
+        self._front = Uniforms(self.realm.streams.of("front"))
+        self._drops = 0
+        self.setups_us: list[tuple[int, int]] = []  # (class, from the client's sending to UP)
+        self.tally: dict[str, int] = dict.fromkeys(
+            ("tries", "first_tries", "up", "refused", "failed", "timed_out", "unreached", "attempts", "probes",
+             "moved", "broken", "cross_us", "stood_us", "late_failures", "wasted"), 0,
+        )  # fmt: skip
+
+    # The run.
+
+    def run(self) -> None:
+        realm, kernel = self.realm, self.kernel
+        realm.begin(self)
+        for index in range(len(realm.proxies)):
+            self.proxies.append(self._start_proxy(index))
+        self._stand_all()
+        troubles.schedule(realm)
+        population = realm.population
+        for index in range(population.standing, len(population)):
+            kernel.at(realm.start_us + int(population.arrive_us[index]), partial(self.try_now, index))
+        kernel.run(realm.end_us)
+        for machine in realm.machines.values():
+            machine.advance(realm.end_us)
+        kernel.run(realm.end_us + AFTER_US)
+        for proxy in self.proxies:
+            if not proxy.ended:
+                held = max(0, proxy.owner.open - sum(session.known for session in proxy.sessions.values()))
+                realm.log(What.HELD, proxy.name, number=held)
+                for fault in proxy.loop.faults:
+                    realm.log(What.NOTE, proxy.name, detail=str(fault.get("exception", fault))[:200])
+
+    def _start_proxy(self, index: int) -> Proxy:
+        realm, name = self.realm, self.realm.proxies[index]
+        loop, counters = ProcessLoop(self.kernel), Counters()  # type: ignore[abstract]
+        settings = read_settings(flatten(realm.settings(index)))
+        starts, self._starts[index] = self._starts[index], self._starts[index] + 1
+        seed = realm.streams.number(f"module {index}", starts)
+        owner = Owner(settings, seed, self.clock, SilentLog(name, realm), counters, self._make)
+        draws = Uniforms(realm.streams.of(f"proxy {index}", starts))
+        proxy = Proxy(index, name, realm.proxy_zone(index), loop, owner, Backends(), settings, draws, counters)
+        realm.log(What.PROXY, name, detail="up")
+        known = list(realm.known[index].values())
+        loop.deliver(lambda: owner.start(Backstage(self, proxy)))
+        self._told(proxy, known, whole=True)
+        loop.deliver(partial(self._begin_owner, proxy))
+        if proxy.settings.profiles and self.realm.scenario.module.tells_delay:
+            self.kernel.at(self.kernel.now_us() + WATCH_US + 1013 * index, partial(self._watch, proxy))
+        return proxy
+
+    def _begin_owner(self, proxy: Proxy) -> None:
+        proxy.task = proxy.loop.create_task(proxy.owner.run())
+
+    def _stand_all(self) -> None:
+        """Connections that stand at the start are handed to the proxies, as a restart of all would."""
+        population, zones = self.realm.population, len(self.realm.scenario.fleet.zones)
+        for index, server in enumerate(self.realm.standing_places()):
+            near = [proxy for proxy in self.proxies if proxy.zone == population.zone[index] % zones]
+            proxy = (near or self.proxies)[index % len(near or self.proxies)]
+            client = self.clients[index]
+            session = Session(self, proxy, client, client.next_id(), self.kernel.now_us())
+            self._open[index] = session
+            session.stand_from_start(self.realm.machines[server])
+            proxy.loop.deliver(partial(proxy.owner.put, Stood(session.req, server)))
+            self._plan_end(index, session)
+
+    # Clients.
+
+    def try_now(self, index: int) -> None:
+        realm, now_us = self.realm, self.kernel.now_us()
+        end_us = realm.start_us + int(realm.population.end_us[index])
+        if now_us >= min(end_us, realm.end_us) or self._open[index] is not None:
+            return
+        client = self.clients[index]
+        self.tally["tries"] += 1
+        self.tally["first_tries"] += not client.retry
+        proxy = self._choose_proxy(int(realm.population.zone[index]))
+        way_us = realm.client_way_us
+        if proxy is None or proxy.ended:
+            self.tally["unreached"] += 1
+            self._again(index, client.after_failure(0))
+            return
+        session = Session(self, proxy, client, client.next_id(), now_us + 2 * way_us)
+        self._open[index] = session
+        # The connection comes up, then the line is sent: `d` counts from its sending.
+        self.kernel.at(now_us + 3 * way_us, partial(proxy.loop.deliver, session.arrive))
+        deadline_us = session.asked_us + session.patience_us
+        self.kernel.at(deadline_us, partial(self._give_up, index, session))
+
+    def _choose_proxy(self, zone: int) -> Proxy | None:
+        near = [p for p in self.proxies if self._admitted[p.index] and p.zone == zone]
+        found = near or [p for p in self.proxies if self._admitted[p.index]]
+        return found[int(self._front.next() * len(found))] if found else None
+
+    def _again(self, index: int, wait_us: int) -> None:
+        self._open[index] = None
+        self.kernel.at(self.kernel.now_us() + wait_us, partial(self.try_now, index))
+
+    def _give_up(self, index: int, session: Session) -> None:
+        """The client's time is up and nothing came."""
+        if self._open[index] is session and not session.client_answered:
+            session.client_answered = True
+            self.tally["timed_out"] += 1
+            self.tally["late_failures"] += 1
+            self.client_leaves(session)
+            self._again(index, self.clients[index].after_failure(0))
+
+    def client_leaves(self, session: Session) -> None:
+        if not session.answered:
+            self.realm.log(What.GONE, session.proxy.name, session.name)
+        way_us = self.realm.client_way_us
+        self.kernel.at(self.kernel.now_us() + way_us, partial(session.proxy.loop.deliver, session.client_left))
+
+    def got_answer(self, session: Session, kind: str, advice_us: int) -> None:
+        """The proxy's answer has come at the client."""
+        index = session.client.index
+        if self._open[index] is not session or session.client_answered:
+            return
+        session.client_answered = True
+        now_us, client = self.kernel.now_us(), session.client
+        if kind == "up":
+            self.tally["up"] += 1
+            self.setups_us.append((session.profile, now_us - session.asked_us))
+            client.served()
+            self._plan_end(index, session)
+            return
+        self.tally["refused" if kind == "busy" else "failed"] += 1
+        profile = self.realm.scenario.clients.classes[session.profile]
+        self.tally["late_failures"] += now_us - session.asked_us > profile.on_time_ms * 1000
+        self._again(index, client.after_failure(advice_us))
+
+    def lost(self, session: Session, how: str) -> None:
+        """A standing connection ended at the client's side: MOVE, or a break."""
+        index = session.client.index
+        if self._open[index] is not session:
+            return
+        if not session.client_answered:  # it broke before any answer
+            session.client_answered = True
+            self.tally["failed"] += 1
+            self._again(index, session.client.after_failure(0))
+            return
+        self.tally["moved" if how == "moved" else "broken"] += 1
+        self._again(index, session.client.after_break())
+
+    def _plan_end(self, index: int, session: Session) -> None:
+        end_us = self.realm.start_us + int(self.realm.population.end_us[index])
+        if end_us <= self.realm.end_us:
+            self.kernel.at(end_us, partial(self._quit, index, session))
+
+    def _quit(self, index: int, session: Session) -> None:
+        """The client has had what it wanted: its server ends the connection with BYE."""
+        if self._open[index] is session:
+            self._open[index] = None
+            session.quit()
+
+    def drop_clients(self, part: float, within_us: int) -> None:
+        """Of those that stand; each comes again within the span."""
+        draws = Uniforms(self.realm.streams.of("drops", self._drops))
+        self._drops += 1
+        for index, session in enumerate(self._open):
+            if session is not None and session.client_answered and draws.next() < part:
+                self.client_leaves(session)
+                self.tally["broken"] += 1
+                self._again(index, self.clients[index].after_break(within_us))
+
+    # Servers, as the realm tells of them.
+
+    def sessions_at(self, server: str) -> list[Session]:
+        return [session for proxy in self.proxies for session in proxy.standing.get(server, {}).values()]
+
+    def sent_away(self, machine: Machine) -> None:
+        for session in self.sessions_at(machine.draw.name):
+            session.server_ends("MOVE", Status.REVOKED)
+
+    def died(self, machine: Machine) -> None:
+        for proxy in self.proxies:
+            for session in list(proxy.sessions.values()):
+                if session.machine is machine:
+                    session.server_ends("reset", Status.DROPPED)
+
+    def dropped(self, machine: Machine, connections: list[Held]) -> None:
+        for held in connections:
+            if held.on_drop is not None:
+                held.on_drop()
+
+    def vanished(self, machine: Machine) -> None:
+        for proxy in self.proxies:
+            self._silent(proxy, machine)
+
+    def _silent(self, proxy: Proxy, machine: Machine) -> None:
+        for session in proxy.standing.get(machine.draw.name, {}).values():
+            session.unheard()
+
+    def cut_zones(self, cut: bool) -> None:
+        now_us = self.kernel.now_us()
+        for proxy in self.proxies:
+            for machine in self.realm.machines.values():
+                if machine.draw.zone != proxy.zone and machine.draw.name in proxy.standing:
+                    for session in proxy.standing[machine.draw.name].values():
+                        machine.set_live(now_us, session.name, not cut and not proxy.loop.frozen)
+                    if cut:
+                        self._silent(proxy, machine)
+
+    def tell(self, proxy: int, rows: list[Told], whole: bool) -> None:
+        there = self.proxies[proxy]
+        if not there.ended:
+            there.loop.deliver(lambda: self._told(there, rows, whole))
+
+    def _told(self, proxy: Proxy, rows: list[Told], whole: bool) -> None:
+        entries = _entries(rows)
+        for row in rows:
+            started_us = row.started_us - self.realm.start_us if row.started_us else 0
+            self.realm.log(What.TOLD, proxy.name, server=row.server, number=started_us, detail=row.lifecycle)
+        listed = [(entry, entry.server, 0) for entry in entries]
+        proxy.backends.listed(listed, whole, self.kernel.now_us())
+        kind = ListKind.SNAPSHOT if whole else ListKind.DIFF
+        proxy.owner.put(Listed(ListUpdate(kind, 0, entries)))
+
+    # Proxies, as the realm tells of them.
+
+    def restart_proxy(self, proxy: int) -> None:
+        """SIGTERM, the drain, the end, and a new start some time later."""
+        there, now_us, realm = self.proxies[proxy], self.kernel.now_us(), self.realm
+        if there.ended:
+            return
+        realm.log(What.PROXY, there.name, detail="draining")
+        there.draining = True
+        there.loop.deliver(partial(there.owner.put, Drain()))
+        self.kernel.at(now_us + int(self._front.between(*NEWCOMERS_US)), partial(self._shut, proxy))
+        self.kernel.at(now_us + DRAIN_LEAST_US, partial(self._look_for_end, there, now_us + DRAIN_MOST_US))
+
+    def _shut(self, proxy: int) -> None:
+        self._admitted[proxy] = False
+
+    def _look_for_end(self, proxy: Proxy, until_us: int) -> None:
+        now_us = self.kernel.now_us()
+        if proxy.ended:
+            return
+        if proxy.sessions and now_us < until_us:
+            self.kernel.at(now_us + DRAIN_LOOK_US, partial(self._look_for_end, proxy, until_us))
+            return
+        back_us = int(self._front.between(*self.realm.scenario.proxies.restart_s) * 1e6)
+        self._end_proxy(proxy, "stopped", back_us)
+
+    def kill_proxy(self, proxy: int, back_us: int) -> None:
+        there = self.proxies[proxy]
+        if there.ended:
+            return
+        self._end_proxy(there, "killed", back_us)
+        wait_us = int(self._front.between(*self.realm.scenario.proxies.notice_s) * 1e6)
+        self.kernel.at(self.kernel.now_us() + wait_us, lambda: self._notice(proxy))
+
+    def _notice(self, proxy: int) -> None:
+        """The front notices a dead proxy, unless it is back by then."""
+        if self.proxies[proxy].ended:
+            self._admitted[proxy] = False
+
+    def _end_proxy(self, proxy: Proxy, how: str, back_us: int) -> None:
+        proxy.ended = True
+        proxy.loop.kill()
+        for session in list(proxy.sessions.values()):
+            session.proxy_died(how)
+        self.realm.log(What.PROXY, proxy.name, detail=how)
+        self.kernel.at(self.kernel.now_us() + back_us, partial(self._restart, proxy.index))
+
+    def _restart(self, proxy: int) -> None:
+        self.proxies[proxy] = self._start_proxy(proxy)
+        self.kernel.at(self.kernel.now_us() + ADMIT_US, partial(self._admit, proxy))
+
+    def _admit(self, proxy: int) -> None:
+        self._admitted[proxy] = not self.proxies[proxy].ended
+
+    def freeze_proxy(self, proxy: int, for_us: int) -> None:
+        there = self.proxies[proxy]
+        if there.ended or there.loop.frozen:
+            return
+        self.realm.log(What.PROXY, there.name, detail="frozen")
+        there.loop.freeze()
+        self._live(there, False)
+        self.kernel.at(self.kernel.now_us() + for_us, partial(self._thaw, there))
+
+    def _thaw(self, proxy: Proxy) -> None:
+        if not proxy.ended:
+            self.realm.log(What.PROXY, proxy.name, detail="thawed")
+            proxy.loop.thaw()
+            self._live(proxy, True)
+
+    def _live(self, proxy: Proxy, live: bool) -> None:
+        now_us = self.kernel.now_us()
+        for server, sessions in proxy.standing.items():
+            machine = self.realm.machines[server]
+            for name in sessions:
+                machine.set_live(now_us, name, live and not self.realm.apart(proxy.zone, machine))
+
+    # What a proxy's listener watches.
+
+    def _watch(self, proxy: Proxy) -> None:
+        if proxy.ended:
+            return
+        proxy.loop.deliver(partial(self._tell_delays, proxy))
+        if self.kernel.now_us() < self.realm.end_us:
+            self.kernel.at(self.kernel.now_us() + WATCH_US, partial(self._watch, proxy))
+
+    def _tell_delays(self, proxy: Proxy) -> None:
+        now_us, tell_ms = self.kernel.now_us(), min(self.realm.aims_s) * 1e3 / DELAY_PART
+        every_s, late = self.realm.scenario.clients.line_every_s, set()
+        for server, session in self._each_server(proxy):
+            machine = self.realm.machines[server]
+            if machine.life is not Life.SERVING or self.realm.apart(proxy.zone, machine):
+                continue
+            # Some line was answered within the last second, unless all their clients were quiet.
+            quiet = max(0.0, 1.0 - 1.0 / every_s) ** len(proxy.standing[server])
+            if proxy.draws.next() < quiet:
+                continue
+            machine.advance(now_us)
+            delay_ms = machine.message_s() * 1e3
+            if delay_ms > tell_ms:
+                late.add(server)
+            if delay_ms > tell_ms or server in proxy.late:
+                proxy.owner.put(Heard(session.req, NoteKind.DELAY, delay_ms))
+        proxy.late = late
+
+    def _each_server(self, proxy: Proxy) -> Iterator[tuple[str, Session]]:
+        for server, sessions in proxy.standing.items():
+            for session in sessions.values():
+                yield server, session
+                break
+
+
+def _entries(rows: Iterable[Told]) -> tuple[ServerEntry, ...]:
+    return tuple(
+        ServerEntry(row.server, STATES[row.lifecycle], row.zone, 0, row.kind, 1.0, row.started_us) for row in rows
+    )
+
+
+class Backstage:
+    """The fleet as one proxy's owner sees it."""
+
+    def __init__(self, world: World, proxy: Proxy) -> None:
+        self._world, self._proxy = world, proxy
+
+    def probe(self, server: str) -> None:
+        world, proxy, realm = self._world, self._proxy, self._world.realm
+        backend, machine = proxy.backends.get(server), realm.machines.get(server)
+        if backend is None or machine is None or server in proxy.probing:
+            return
+        proxy.probing.add(server)
+        world.tally["probes"] += 1
+        now_us, kernel = world.kernel.now_us(), world.kernel
+        way_us = world.realm.way_us(proxy.zone, machine)
+        if realm.apart(proxy.zone, machine):
+            self._end(machine, Status.DIAL_FAILED, now_us, now_us + PROBE_LIMIT_US // 2)
+        elif machine.life is Life.GONE:
+            self._end(machine, Status.DIAL_FAILED, now_us, now_us + 2 * way_us)
+        else:
+            kernel.at(now_us + way_us, partial(self._at_server, machine, now_us, way_us))
+
+    def _at_server(self, machine: Machine, asked_us: int, way_us: int) -> None:
+        now_us = self._world.kernel.now_us()
+        if machine.life is Life.GONE or self._world.realm.apart(self._proxy.zone, machine):
+            self._end(machine, Status.DROPPED, asked_us, now_us + way_us)
+            return
+        answer_us = machine.probed(now_us) + way_us
+        if answer_us - asked_us > PROBE_LIMIT_US:
+            self._end(machine, Status.EXPIRED, asked_us, asked_us + PROBE_LIMIT_US)
+            return
+        fields = machine.report
+        names = {"errors_per_s": "eps", "outstanding": "inflight", "utilization": "util", "x0": "x0"}
+        row = tuple(fields.get(names[column]) for column in self._proxy.settings.report_columns)
+        self._end(machine, Status.DELIVERED, asked_us, answer_us, row)
+
+    def _end(
+        self, machine: Machine, status: Status, asked_us: int, at_us: int, row: tuple[float | None, ...] = ()
+    ) -> None:
+        proxy = self._proxy
+
+        def told() -> None:
+            proxy.probing.discard(machine.draw.name)
+            proxy.owner.put(Probed(machine.draw.name, status, at_us - asked_us, row))
+
+        self._world.kernel.at(at_us, partial(proxy.loop.deliver, told))
+
+    def close_idle(self, server: str) -> None:
+        pass  # kept probe connections are not modelled
+
+    def fetch_list(self) -> None:
+        proxy, realm = self._proxy, self._world.realm
+        rows = realm.known[proxy.index].values()
+        entries = _entries(rows)
+        proxy.owner.put(Listed(ListUpdate(ListKind.SNAPSHOT, 0, entries)))
+
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -9,7 +9,8 @@
 import asyncio
 import traceback
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from stoatgw.decisions.balancer import Balancer
 from stoatgw.decisions.interface import (
@@ -59,16 +60,30 @@
 from stoatgw.telemetry.log import EventLog
 
 
+class Module(Protocol):
+    """Whatever decides: the `Balancer`, or a policy that experiments set beside it."""
+
+    def start(self, now_us: int) -> list[Action]: ...
+
+    def handle(self, event: Event, now_us: int) -> list[Action]: ...
+
+
 class Owner:
     def __init__(
-        self, settings: Settings, seed: int, clock: Clock, log: EventLog, counters: Counters
+        self,
+        settings: Settings,
+        seed: int,
+        clock: Clock,
+        log: EventLog,
+        counters: Counters,
+        make: Callable[[Settings, int], Module] = Balancer,
     ) -> None:
-        self._settings, self._seed, self._clock = settings, seed, clock
+        self._settings, self._seed, self._clock, self._make = settings, seed, clock, make
         self._log, self._counters = log, counters
         self._inbox: deque[Message] = deque()
         self._wake = asyncio.Event()
         self._reqs: dict[str, Req] = {}
-        self._balancer = Balancer(settings, seed)
+        self._balancer = make(settings, seed)
         self._lists: dict[str, ListUpdate] = {}
         self._draining, self._newcomers_until_us = False, 0
         self._fleet: Fleet | None = None
@@ -275,7 +290,7 @@
         self._counters.add("decision_faults")
         self._log.event("decision_fault", error=repr(error), trace=traceback.format_exc(limit=4))
         self._seed += 1
-        self._balancer = Balancer(self._settings, self._seed)
+        self._balancer = self._make(self._settings, self._seed)
         for req in [req for req in self._reqs.values() if not req.answered]:
             req.orphan = True
             if req.out is None:
