--- a/stoatgw/__main__.py
+++ b/stoatgw/__main__.py
@@ -1,149 +1,19 @@
-"""The real proxy: wires the parts, handles signals. `python -m stoatgw` with LB_CONFIG set."""
+"""`python -m stoatgw`: the real proxy; with arguments, the command line."""
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import os
-import resource
-import signal
 import sys
-from dataclasses import replace
-
-import uvloop
-
-from stoatgw.backends.backend import Backends
-from stoatgw.backends.probe import Columns, Prober
-from stoatgw.clients.house import House
-from stoatgw.clients.listener import Listener
-from stoatgw.clients.room import Room
-from stoatgw.config.deployment import ConfigError, Deployment, load
-from stoatgw.director.director import Director
-from stoatgw.director.list import ListReader
-from stoatgw.owner.clock import Clock
-from stoatgw.owner.messages import Drain
-from stoatgw.owner.owner import Owner
-from stoatgw.telemetry.counters import Counters
-from stoatgw.telemetry.log import EventLog
-
-DRAIN_LEAST_S, DRAIN_MOST_S = 1.0, 2.5  # newcomers come for 0.4 s more; killed after 2.7 s at the soonest
-
-
-class Backstage:
-    """The backends' side as the owner sees it."""
-
-    def __init__(self, backends: Backends, prober: Prober, director: Director) -> None:
-        self._backends, self._prober, self._director = backends, prober, director
-
-    def probe(self, server: str) -> None:
-        backend = self._backends.get(server)
-        if backend is not None:
-            self._prober.probe(backend)
-
-    def close_idle(self, server: str) -> None:
-        self._prober.close(server)
-
-    def fetch_list(self) -> None:
-        self._director.tell_all()
-
-
-class Reload:
-    """SIGHUP: LB_CONFIG read anew. The address of discovery is taken over; the rest needs a restart."""
-
-    def __init__(
-        self, path: str, deployment: Deployment, director: Director, log: EventLog, counters: Counters
-    ) -> None:
-        self._path, self._deployment, self._director = path, deployment, director
-        self._log, self._counters = log, counters
-
-    def __call__(self) -> None:
-        """A file that cannot be used is logged and changes nothing."""
-        self._counters.add("reloads")
-        try:
-            fresh = load(self._path)
-        except Exception as fault:  # guards against a half-written file: what runs stays as it is
-            self._counters.add("reloads_bad")
-            self._log.event("reload_bad", error=str(fault)[:200])
-            return
-        # The seed and the list are new with each file; what else differs is told, not taken.
-        same = replace(fresh, discovery=self._deployment.discovery, seed=self._deployment.seed,
-                       known=self._deployment.known)  # fmt: skip
-        self._log.event("reload", discovery=str(fresh.discovery), restart_needed=same != self._deployment)
-        self._director.move_to(fresh.discovery)
-
-
-async def serve(deployment: Deployment, path: str) -> None:
-    loop, clock = asyncio.get_running_loop(), Clock()
-    log, counters, backends = EventLog(deployment.name), Counters(), Backends()
-    settings = deployment.settings
-    owner = Owner(settings, deployment.seed, clock, log, counters)
-    columns = Columns(settings.report_columns)
-    prober = Prober(owner, clock, columns, deployment.dial_timeout_us, counters)
-    director = Director(
-        deployment.discovery,
-        ListReader(deployment.zones, deployment.kinds),
-        backends,
-        owner,
-        clock,
-        lambda backend: prober.close(backend.name),
-        log,
-        counters,
-    )
-    room = Room(deployment.sockets)
-    house = House(deployment, owner, backends, clock, columns.row, counters, log, room)
-    listener = Listener(house)
-    loop.add_signal_handler(signal.SIGHUP, Reload(path, deployment, director, log, counters))
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-    stopped = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stopped.set)
-    loop.add_signal_handler(signal.SIGINT, stopped.set)
-    loop.add_signal_handler(
-        signal.SIGUSR1, lambda: log.event("counters", open=listener.open, reqs=owner.open, **counters.all())
-    )
-    director.known(deployment.known)
-    owner.start(Backstage(backends, prober, director))
-    try:
-        listener.bind(deployment.listen)
-    except OSError as fault:
-        raise ConfigError(f"listen: cannot listen there: {fault.strerror}") from None
-    tasks = [loop.create_task(run()) for run in (owner.run, director.run, listener.run, listener.watch)]
-    log.event("ready", listen=str(deployment.listen))
-    stop = loop.create_task(stopped.wait())
-    await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
-    for task in tasks:
-        if task.done():  # none of them ends by itself
-            log.event("task_ended", error=repr(task.exception()))
-    log.event("draining", open=listener.open)
-    house.draining = True
-    owner.put(Drain())
-    began = clock.now_us()
-    while (passed := (clock.now_us() - began) / 1e6) < DRAIN_MOST_S:
-        if passed >= DRAIN_LEAST_S and not listener.open:
-            break
-        await asyncio.sleep(0.02)
-    log.event("stopped", open=listener.open, reqs=owner.open, **counters.all())
 
 
 def main() -> int:
-    # Guards against a reload during the start, which would end the program: it waits for its handler.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-    path = os.environ.get("LB_CONFIG")
-    try:
-        if not path:
-            raise ConfigError("LB_CONFIG: not set")
-        start(load(path), path)
-    except ConfigError as fault:
-        print(f"stoatgw: {fault}", file=sys.stderr)
-        return 2
-    return 0
+    if len(sys.argv) > 1:
+        from stoatgw.cli.main import main as command_line
 
+        return command_line()
+    # The service's way in: it imports nothing of the command line.
+    from stoatgw.service import main as serve
 
-def start(deployment: Deployment, path: str) -> None:
-    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    wanted = deployment.sockets if hard == resource.RLIM_INFINITY else min(deployment.sockets, hard)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
-    gc.freeze()
-    uvloop.run(serve(deployment, path))
+    return serve()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/stoatgw/cli/lab.py
@@ -0,0 +1,140 @@
+"""`stoatgw lab`: play scenarios, compare two sets of runs, make reports, measure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from typing import Any
+
+import click
+
+
+def _one_line(command: Callable[..., Any]) -> Callable[..., Any]:
+    """What the lab cannot use ends as one line."""
+
+    @wraps(command)
+    def run(*args: Any, **kwargs: Any) -> Any:
+        from stoatgw.emulator.scenario import ScenarioError
+        from stoatgw.lab.experiment import LabError
+
+        try:
+            return command(*args, **kwargs)
+        except (ScenarioError, LabError) as error:
+            raise click.ClickException(str(error)) from None
+
+    return run
+
+
+@click.group()
+def lab() -> None:
+    """Experiments in a world of our own, in virtual time or on sockets."""
+
+
+@lab.command("list")
+@_one_line
+def list_scenarios() -> None:
+    """List the scenarios that come with the program."""
+    from stoatgw.emulator.scenario import load
+    from stoatgw.lab.experiment import scenario_folder
+
+    for path in sorted(scenario_folder().glob("*.toml")):
+        scenario = load(path)
+        click.echo(f"{scenario.name:12} {scenario.about}")
+
+
+@lab.command()
+@click.argument("scenario")
+@click.option("--driver", type=click.Choice(["virtual", "loopback"]), default="virtual", show_default=True)
+@click.option("--policy", "policies", multiple=True, type=click.Choice(["module", "floor", "top"]),
+              help="What decides; may be repeated. Default: module, and in virtual time all three.")  # fmt: skip
+@click.option("--seeds", type=click.IntRange(1, 10_000), default=8, show_default=True, help="So many seeds.")
+@click.option("--first-seed", type=click.IntRange(0, 1 << 40), default=0, show_default=True)
+@click.option("--set", "changes", multiple=True, metavar="PATH=VALUE", help="Change a field.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=None, help="Runs at a time. Default: by the cores.")
+@click.option("--events/--no-events", default=False, help="Keep the event log of each run.")
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="The experiment's folder.")
+@_one_line
+def run(
+    scenario: str, driver: str, policies: tuple[str, ...], seeds: int, first_seed: int, changes: tuple[str, ...],
+    jobs: int | None, events: bool, out: Path,
+) -> int:  # fmt: skip
+    """Play SCENARIO (a file, or a name from `lab list`) and keep the results in a folder.
+
+    An interrupted run goes on where it stopped. Status 1: a rule was broken, or a run is void.
+    """
+    from stoatgw.lab.experiment import Experiment, find_scenario
+    from stoatgw.lab.show import Progress, summary
+
+    path = find_scenario(scenario)
+    default = ("module", "floor", "top") if driver == "virtual" else ("module",)
+    experiment = Experiment.plan(
+        path, changes, driver, policies or default, range(first_seed, first_seed + seeds), events, out
+    )
+    with Progress(experiment) as progress:
+        results = experiment.run(jobs, progress.done)
+    return summary(experiment, results)
+
+
+@lab.command()
+@click.argument("dir_a", type=click.Path(path_type=Path))
+@click.argument("dir_b", type=click.Path(path_type=Path))
+@click.option("--policy-a", default="module", show_default=True)
+@click.option("--policy-b", default="module", show_default=True)
+@click.option("--csv", "csv_file", type=click.Path(path_type=Path), help="Write the table there too.")
+@click.option("--chart", type=click.Path(path_type=Path), help="Write a chart of the differences (PNG).")
+@_one_line
+def compare(
+    dir_a: Path, dir_b: Path, policy_a: str, policy_b: str, csv_file: Path | None, chart: Path | None
+) -> None:
+    """B less A over the seeds that both have, with 95% bootstrap intervals."""
+    from stoatgw.lab.compare import compare_folders
+    from stoatgw.lab.show import comparison
+
+    rows = compare_folders(dir_a, policy_a, dir_b, policy_b)
+    comparison(rows, f"{dir_b} ({policy_b}) less {dir_a} ({policy_a})")
+    if csv_file is not None:
+        from stoatgw.lab.tables import write_csv
+
+        write_csv(csv_file, [row.record() for row in rows])
+    if chart is not None:
+        from stoatgw.lab.charts import draw_comparison
+
+        draw_comparison(rows, chart)
+
+
+@lab.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+@_one_line
+def report(folder: Path) -> None:
+    """Make FOLDER/report.html, one self-contained page, and its charts as PNG."""
+    from stoatgw.lab.report import write_report
+
+    click.echo(str(write_report(folder)))
+
+
+@lab.command()
+@click.option("--servers", multiple=True, type=click.IntRange(2, 5000), default=(8, 100, 1000), show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), required=True)
+@_one_line
+def speed(servers: tuple[int, ...], out: Path) -> None:
+    """Simulated seconds for each second of wall time, by the fleet's size, as a table and a chart."""
+    from stoatgw.lab.speed import measure
+
+    for line in measure(servers, out):
+        click.echo(line)
+
+
+@lab.command()
+@click.option("--seconds", type=click.FloatRange(0.5, 60.0), default=4.0, show_default=True, help="Of each round.")
+@click.option("--rounds", type=click.IntRange(1, 50), default=5, show_default=True, help="Pairs, in turn.")
+@click.option("--clients", type=click.IntRange(1, 512), default=16, show_default=True, help="At once.")
+@click.option("--standing", type=click.IntRange(100, 20_000), default=4000, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), help="Write the table there (CSV).")
+@_one_line
+def bench(seconds: float, rounds: int, clients: int, standing: int, out: Path | None) -> None:
+    """The proxy against a bare relay on one core: set-ups and lines a second, memory and descriptors."""
+    from stoatgw.lab.bench import measure
+
+    for line in measure(seconds, rounds, clients, standing, out):
+        click.echo(line)
--- /dev/null
+++ b/stoatgw/cli/main.py
@@ -0,0 +1,82 @@
+"""`stoatgw`: the groups of commands, and how errors end."""
+
+from __future__ import annotations
+
+import os
+import sys
+from importlib.metadata import PackageNotFoundError, version
+from typing import Any
+
+try:
+    import click
+except ModuleNotFoundError:
+    sys.exit("stoatgw: the command line needs click: install the extra with pip install 'stoatgw[lab]', "
+             "or start the proxy with python -m stoatgw")  # fmt: skip
+
+from stoatgw import __version__
+from stoatgw.cli.lab import lab
+from stoatgw.config.deployment import ConfigError
+
+
+def _version() -> str:
+    try:
+        return str(version("stoatgw"))
+    except PackageNotFoundError:  # run from a checkout
+        return __version__
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(_version(), prog_name="stoatgw")
+def stoatgw() -> None:
+    """Places long-lived exercise-session connections on session servers."""
+
+
+@stoatgw.command()
+@click.option("--lb-config", "path", type=click.Path(), help="The platform's configuration; LB_CONFIG by default.")
+def run(path: str | None) -> int:
+    """Run the proxy in the foreground, as `python -m stoatgw` does."""
+    from stoatgw.service import main as serve
+
+    if path is not None:
+        os.environ["LB_CONFIG"] = path
+    return serve()
+
+
+@stoatgw.command()
+@click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
+def completion(shell: str) -> None:
+    """Print the completion script for a shell: eval "$(stoatgw completion bash)"."""
+    from click.shell_completion import get_completion_class
+
+    found = get_completion_class(shell)
+    if found is None:
+        raise click.ClickException(f"{shell}: no completion for this shell")
+    click.echo(found(stoatgw, {}, "stoatgw", "_STOATGW_COMPLETE").source())
+
+
+stoatgw.add_command(lab)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run a command; gives the status: 0, 1 for findings (broken rules), 2 for what cannot be used."""
+    try:
+        status: Any = stoatgw.main(arguments, prog_name="stoatgw", standalone_mode=False)
+    except click.Abort:
+        click.echo("stoatgw: interrupted", err=True)
+        return 130
+    except click.exceptions.Exit as end:
+        return end.exit_code
+    except click.exceptions.NoArgsIsHelpError as error:
+        click.echo(error.format_message(), err=True)
+        return 2
+    except click.ClickException as error:
+        click.echo(f"stoatgw: {' '.join(error.format_message().split())}", err=True)
+        return 2
+    except ConfigError as error:
+        click.echo(f"stoatgw: {error}", err=True)
+        return 2
+    return int(status or 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/stoatgw/emulator/doors.py
+++ b/stoatgw/emulator/doors.py
@@ -314,11 +314,11 @@
 
     def _to_client(self, kind: str, advice_us: int) -> None:
         at_us = self._kernel.now_us() + self._realm.client_way_us
-        self._kernel.at(at_us, lambda: self._world.got_answer(self, kind, advice_us))
+        self._kernel.at(at_us, partial(self._world.got_answer, self, kind, advice_us))
 
     def _client_lost(self, how: str) -> None:
         at_us = self._kernel.now_us() + self._realm.client_way_us
-        self._kernel.at(at_us, lambda: self._world.lost(self, how))
+        self._kernel.at(at_us, partial(self._world.lost, self, how))
 
     def _finish(self, how: str, tell: bool = False) -> None:
         """The session ends from the client's side or the owner's; an attempt that is out is given up."""
--- a/stoatgw/emulator/events.py
+++ b/stoatgw/emulator/events.py
@@ -9,7 +9,7 @@
 import hashlib
 from collections.abc import Callable
 from enum import StrEnum
-from typing import BinaryIO
+from typing import Protocol
 
 import msgspec
 
@@ -52,10 +52,14 @@
 _DECODER = msgspec.json.Decoder(Event)
 
 
+class Writer(Protocol):
+    def write(self, data: bytes, /) -> int: ...
+
+
 class EventSink:
     """Hands records to its listeners, keeps a digest of them all, and writes them where a file is given."""
 
-    def __init__(self, listeners: tuple[Callable[[Event], None], ...] = (), file: BinaryIO | None = None) -> None:
+    def __init__(self, listeners: tuple[Callable[[Event], None], ...] = (), file: Writer | None = None) -> None:
         self._listeners, self._file = listeners, file
         self._hash = hashlib.sha256()
         self.count = 0
--- a/stoatgw/emulator/ledger.py
+++ b/stoatgw/emulator/ledger.py
@@ -19,6 +19,10 @@
         self._earned = [[0.0] * self._seconds for _ in worths]
         self.asked = np.zeros((len(worths), self._seconds))
 
+    def start(self, start_us: int) -> None:
+        """The run's first moment; nothing was booked yet."""
+        self._start_us = start_us
+
     def earn(self, from_us: int, to_us: int, profile: int, connections: float, share: float) -> None:
         """So many connections of a class were served for a time; `share` of their messages in time."""
         if connections <= 0 or share <= 0.0:
--- /dev/null
+++ b/stoatgw/emulator/loopback/discovery.py
@@ -0,0 +1,120 @@
+"""Stand-in discovery: one address for each proxy, with the whole list or a watch over HTTP/1.1."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import re
+import socket
+from typing import TYPE_CHECKING, Any
+
+from stoatgw.emulator.loopback import wire
+from stoatgw.emulator.realm import Told
+
+if TYPE_CHECKING:
+    from stoatgw.emulator.loopback.driver import LoopbackWorld
+
+ALIVE_S = 2.0  # an empty line so often, while nothing changes
+REQUEST_MOST = 16_384
+
+
+class Discovery:
+    """The agent on one proxy's machine: it has what it has been sent."""
+
+    def __init__(self, world: LoopbackWorld, proxy: int) -> None:
+        self._world, self._proxy = world, proxy
+        self._generation = 1
+        self._watches: set[wire.LineSocket] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._sock: socket.socket | None = None
+
+    def open(self) -> None:
+        self._sock = wire.listen(wire.discovery_address(self._proxy, self._world.base))
+        self._spawn(self._accept(self._sock))
+        self._spawn(self._keep_alive())
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def stop(self) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=2.0)
+        if self._sock is not None:
+            self._sock.close()
+
+    def page(self, rows: list[Told], whole: bool) -> dict[str, Any]:
+        """Rows in discovery's form."""
+        world = self._world
+        instances = []
+        for row in rows:
+            host, port = wire.server_address(world.numbers[row.server], self._proxy, world.base)
+            instances.append(
+                {
+                    "instanceId": row.server, "hostPort": f"{host}:{port}",
+                    "zone": world.realm.scenario.fleet.zones[row.zone],
+                    "machineType": world.realm.scenario.fleet.kinds[row.kind].name, "cell": 0,
+                    "lifecycle": row.lifecycle, "weight": 1.0, "startedAtMs": row.started_us // 1000,
+                }
+            )  # fmt: skip
+        return {"generation": self._generation, "reset": whole, "instances": instances}
+
+    def whole(self) -> dict[str, Any]:
+        return self.page(list(self._world.realm.known[self._proxy].values()), True)
+
+    def tell(self, rows: list[Told], whole: bool) -> bool:
+        """Write to whoever watches; whether anybody does."""
+        self._generation += 1
+        line = json.dumps(self.page(rows, whole)).encode() + b"\n"
+        for watch in self._watches:
+            watch.write(_chunk(line))
+        return bool(self._watches)
+
+    async def _keep_alive(self) -> None:
+        while True:
+            await asyncio.sleep(ALIVE_S)
+            for watch in self._watches:
+                watch.write(_chunk(b"\n"))
+
+    async def _accept(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            taken, _ = await loop.sock_accept(sock)
+            self._spawn(self._serve(wire.LineSocket(taken)))
+
+    async def _serve(self, lines: wire.LineSocket) -> None:
+        try:
+            request, size = await lines.read_line(), 0
+            while header := await lines.read_line():
+                size += len(header)
+                if size > REQUEST_MOST:
+                    return
+            target = re.match(rb"GET (\S+) HTTP/1\.1$", request or b"")
+            if target is None:
+                lines.write(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+                return
+            body = json.dumps(self.whole()).encode()
+            if b"watch=1" not in target.group(1):
+                lines.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+                return
+            lines.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + _chunk(body + b"\n"))
+            self._world.told_all(self._proxy)
+            self._watches.add(lines)
+            while await lines.read_line() is not None:
+                pass
+        except OSError:
+            pass
+        finally:
+            self._watches.discard(lines)
+            with contextlib.suppress(OSError):
+                lines.end()
+            lines.close()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- a/stoatgw/emulator/realm.py
+++ b/stoatgw/emulator/realm.py
@@ -60,6 +60,8 @@
 
     def vanished(self, machine: Machine) -> None: ...
 
+    def grew(self, machine: Machine) -> None: ...
+
     def dropped(self, machine: Machine, connections: list[Held]) -> None: ...
 
     def drop_clients(self, part: float, within_us: int) -> None: ...
@@ -76,7 +78,10 @@
 class Realm:
     """The world of one run. `scheduler` is its clock; `stage` the driver's side."""
 
-    def __init__(self, scenario: Scenario, seed: int, scheduler: Scheduler, sink: EventSink) -> None:
+    def __init__(
+        self, scenario: Scenario, seed: int, scheduler: Scheduler, sink: EventSink, booked: bool = True
+    ) -> None:
+        """`booked`: whether the machines book what they earn; on sockets the clients see what came."""
         self.scenario, self.scheduler, self.sink = scenario, scheduler, sink
         self.streams = Streams(seed)
         self.start_us = scheduler.now_us()
@@ -84,7 +89,9 @@
         self.end_us = self.start_us + self.length_us
         classes = scenario.clients.classes
         self.aims_s = tuple(each.aim_ms / 1e3 for each in classes)
-        self.ledger = Ledger(self.start_us, scenario.length_s, tuple(each.worth for each in classes))
+        worths = tuple(each.worth for each in classes)
+        self.ledger = Ledger(self.start_us, scenario.length_s, worths)
+        self._machine_ledger = self.ledger if booked else Ledger(self.start_us, scenario.length_s, worths)
         self.machines: dict[str, Machine] = {}
         self.proxies = [f"n{index}" for index in range(scenario.proxies.count)]
         self._numbers = 0
@@ -94,11 +101,6 @@
         self.first = list(self.machines)
         full = sum(machine.draw.full_units for machine in self.machines.values())
         self.population: Population = draw_population(scenario, full, self.streams)
-        self.ledger.ask(
-            self.population.profile,
-            self.population.arrive_us + self.start_us,
-            self.population.end_us + self.start_us,
-        )
         self._stage: Stage | None = None
         self._feeds = [Uniforms(self.streams.of("discovery", index)) for index in range(scenario.proxies.count)]
         self._due: list[dict[int, list[Told]]] = [{} for _ in self.proxies]
@@ -128,6 +130,16 @@
         for machine in self.machines.values():
             self._start_ticks(machine)
 
+    def open(self) -> None:
+        """The run itself starts now: arrivals, troubles and service count from here."""
+        self.start_us = self.scheduler.now_us()
+        self.end_us = self.start_us + self.length_us
+        self.ledger.start(self.start_us)
+        population = self.population
+        self.ledger.ask(
+            population.profile, population.arrive_us + self.start_us, population.end_us + self.start_us
+        )
+
     def log(
         self, what: What, proxy: str = "", req: str = "", server: str = "", number: int = 0, detail: str = ""
     ) -> None:
@@ -145,7 +157,7 @@
         )  # fmt: skip
         now_us = self.scheduler.now_us()
         machine = Machine(
-            drawn, self.aims_s, self.scenario.module, self.ledger, self.streams.of("server", number), now_us
+            drawn, self.aims_s, self.scenario.module, self._machine_ledger, self.streams.of("server", number), now_us
         )
         self.machines[drawn.name] = machine
         machine.on_fall = partial(self._fell, machine)
@@ -229,11 +241,13 @@
             machine.begin(self.scheduler.now_us())
             self._log_start(machine)
             self.log(What.LIVE, server=machine.draw.name)
+            self.stage.grew(machine)
             self.changed(machine)
 
     def grow(self) -> Machine:
         machine = self._new_machine(cold=True)
         self._start_ticks(machine)
+        self.stage.grew(machine)
         self.changed(machine)
         return machine
 
--- a/stoatgw/emulator/virtual.py
+++ b/stoatgw/emulator/virtual.py
@@ -25,11 +25,11 @@
     Status,
 )
 from stoatgw.emulator import troubles
+from stoatgw.emulator.crowd import Crowd
 from stoatgw.emulator.doors import Session
 from stoatgw.emulator.events import EventSink, What
 from stoatgw.emulator.kernel import Kernel, ProcessLoop
 from stoatgw.emulator.machine import Held, Life, Machine
-from stoatgw.emulator.population import Client
 from stoatgw.emulator.realm import Realm, Told, Uniforms
 from stoatgw.emulator.scenario import Scenario
 from stoatgw.owner.clock import Clock
@@ -99,8 +99,8 @@
     late: set[str] = field(default_factory=set)
 
 
-class World:
-    """One virtual run. `Virtual(...).run()` plays it; what it shows is in `realm` and the figures here."""
+class World(Crowd[Session]):
+    """One virtual run: `World(...).run()` plays it; what it shows is in `realm` and the figures here."""
 
     def __init__(
         self, scenario: Scenario, seed: int, sink: EventSink, policy: Policy = module, shuffle: int | None = None
@@ -112,30 +112,19 @@
         self._make = policy(self.realm)
         self._starts = [0] * len(self.realm.proxies)
         self.proxies: list[Proxy] = []
-        self._admitted: list[bool] = [True] * len(self.realm.proxies)
-        population = self.realm.population
-        self.clients = [Client(index, population, scenario.clients) for index in range(len(population))]
-        self._open: list[Session | None] = [None] * len(self.clients)
-        self._front = Uniforms(self.realm.streams.of("front"))
-        self._drops = 0
-        self.setups_us: list[tuple[int, int]] = []  # (class, from the client's sending to UP)
-        self.tally: dict[str, int] = dict.fromkeys(
-            ("tries", "first_tries", "up", "refused", "failed", "timed_out", "unreached", "attempts", "probes",
-             "moved", "broken", "cross_us", "stood_us", "late_failures", "wasted"), 0,
-        )  # fmt: skip
+        super().__init__(self.realm)
 
     # The run.
 
     def run(self) -> None:
         realm, kernel = self.realm, self.kernel
         realm.begin(self)
+        realm.open()
         for index in range(len(realm.proxies)):
             self.proxies.append(self._start_proxy(index))
         self._stand_all()
         troubles.schedule(realm)
-        population = realm.population
-        for index in range(population.standing, len(population)):
-            kernel.at(realm.start_us + int(population.arrive_us[index]), partial(self.try_now, index))
+        self.schedule_arrivals()
         kernel.run(realm.end_us)
         for machine in realm.machines.values():
             machine.advance(realm.end_us)
@@ -176,51 +165,22 @@
             proxy = (near or self.proxies)[index % len(near or self.proxies)]
             client = self.clients[index]
             session = Session(self, proxy, client, client.next_id(), self.kernel.now_us())
-            self._open[index] = session
+            self.stands(session)
             session.stand_from_start(self.realm.machines[server])
             proxy.loop.deliver(partial(proxy.owner.put, Stood(session.req, server)))
-            self._plan_end(index, session)
 
-    # Clients.
+    # Clients, as the crowd asks for them.
 
-    def try_now(self, index: int) -> None:
-        realm, now_us = self.realm, self.kernel.now_us()
-        end_us = realm.start_us + int(realm.population.end_us[index])
-        if now_us >= min(end_us, realm.end_us) or self._open[index] is not None:
-            return
+    def open_session(self, index: int, proxy: int) -> Session | None:
+        """A client connects and, once the connection is up, sends its line: `d` counts from then."""
+        there, now_us, way_us = self.proxies[proxy], self.kernel.now_us(), self.realm.client_way_us
+        if there.ended:
+            return None
         client = self.clients[index]
-        self.tally["tries"] += 1
-        self.tally["first_tries"] += not client.retry
-        proxy = self._choose_proxy(int(realm.population.zone[index]))
-        way_us = realm.client_way_us
-        if proxy is None or proxy.ended:
-            self.tally["unreached"] += 1
-            self._again(index, client.after_failure(0))
-            return
-        session = Session(self, proxy, client, client.next_id(), now_us + 2 * way_us)
-        self._open[index] = session
-        # The connection comes up, then the line is sent: `d` counts from its sending.
-        self.kernel.at(now_us + 3 * way_us, partial(proxy.loop.deliver, session.arrive))
-        deadline_us = session.asked_us + session.patience_us
-        self.kernel.at(deadline_us, partial(self._give_up, index, session))
-
-    def _choose_proxy(self, zone: int) -> Proxy | None:
-        near = [p for p in self.proxies if self._admitted[p.index] and p.zone == zone]
-        found = near or [p for p in self.proxies if self._admitted[p.index]]
-        return found[int(self._front.next() * len(found))] if found else None
-
-    def _again(self, index: int, wait_us: int) -> None:
-        self._open[index] = None
-        self.kernel.at(self.kernel.now_us() + wait_us, partial(self.try_now, index))
-
-    def _give_up(self, index: int, session: Session) -> None:
-        """The client's time is up and nothing came."""
-        if self._open[index] is session and not session.client_answered:
-            session.client_answered = True
-            self.tally["timed_out"] += 1
-            self.tally["late_failures"] += 1
-            self.client_leaves(session)
-            self._again(index, self.clients[index].after_failure(0))
+        session = Session(self, there, client, client.next_id(), now_us + 2 * way_us)
+        self.kernel.at(now_us + 3 * way_us, partial(there.loop.deliver, session.arrive))
+        self.kernel.at(session.asked_us + session.patience_us, partial(self.give_up, session))
+        return session
 
     def client_leaves(self, session: Session) -> None:
         if not session.answered:
@@ -228,57 +188,8 @@
         way_us = self.realm.client_way_us
         self.kernel.at(self.kernel.now_us() + way_us, partial(session.proxy.loop.deliver, session.client_left))
 
-    def got_answer(self, session: Session, kind: str, advice_us: int) -> None:
-        """The proxy's answer has come at the client."""
-        index = session.client.index
-        if self._open[index] is not session or session.client_answered:
-            return
-        session.client_answered = True
-        now_us, client = self.kernel.now_us(), session.client
-        if kind == "up":
-            self.tally["up"] += 1
-            self.setups_us.append((session.profile, now_us - session.asked_us))
-            client.served()
-            self._plan_end(index, session)
-            return
-        self.tally["refused" if kind == "busy" else "failed"] += 1
-        profile = self.realm.scenario.clients.classes[session.profile]
-        self.tally["late_failures"] += now_us - session.asked_us > profile.on_time_ms * 1000
-        self._again(index, client.after_failure(advice_us))
-
-    def lost(self, session: Session, how: str) -> None:
-        """A standing connection ended at the client's side: MOVE, or a break."""
-        index = session.client.index
-        if self._open[index] is not session:
-            return
-        if not session.client_answered:  # it broke before any answer
-            session.client_answered = True
-            self.tally["failed"] += 1
-            self._again(index, session.client.after_failure(0))
-            return
-        self.tally["moved" if how == "moved" else "broken"] += 1
-        self._again(index, session.client.after_break())
-
-    def _plan_end(self, index: int, session: Session) -> None:
-        end_us = self.realm.start_us + int(self.realm.population.end_us[index])
-        if end_us <= self.realm.end_us:
-            self.kernel.at(end_us, partial(self._quit, index, session))
-
-    def _quit(self, index: int, session: Session) -> None:
-        """The client has had what it wanted: its server ends the connection with BYE."""
-        if self._open[index] is session:
-            self._open[index] = None
-            session.quit()
-
-    def drop_clients(self, part: float, within_us: int) -> None:
-        """Of those that stand; each comes again within the span."""
-        draws = Uniforms(self.realm.streams.of("drops", self._drops))
-        self._drops += 1
-        for index, session in enumerate(self._open):
-            if session is not None and session.client_answered and draws.next() < part:
-                self.client_leaves(session)
-                self.tally["broken"] += 1
-                self._again(index, self.clients[index].after_break(within_us))
+    def quits(self, session: Session) -> None:
+        session.quit()
 
     # Servers, as the realm tells of them.
 
@@ -295,6 +206,9 @@
                 if session.machine is machine:
                     session.server_ends("reset", Status.DROPPED)
 
+    def grew(self, machine: Machine) -> None:
+        pass  # whoever is told of it reaches it
+
     def dropped(self, machine: Machine, connections: list[Held]) -> None:
         for held in connections:
             if held.on_drop is not None:
@@ -343,11 +257,11 @@
         realm.log(What.PROXY, there.name, detail="draining")
         there.draining = True
         there.loop.deliver(partial(there.owner.put, Drain()))
-        self.kernel.at(now_us + int(self._front.between(*NEWCOMERS_US)), partial(self._shut, proxy))
+        self.kernel.at(now_us + int(self.front.between(*NEWCOMERS_US)), partial(self._shut, proxy))
         self.kernel.at(now_us + DRAIN_LEAST_US, partial(self._look_for_end, there, now_us + DRAIN_MOST_US))
 
     def _shut(self, proxy: int) -> None:
-        self._admitted[proxy] = False
+        self.admitted[proxy] = False
 
     def _look_for_end(self, proxy: Proxy, until_us: int) -> None:
         now_us = self.kernel.now_us()
@@ -356,7 +270,7 @@
         if proxy.sessions and now_us < until_us:
             self.kernel.at(now_us + DRAIN_LOOK_US, partial(self._look_for_end, proxy, until_us))
             return
-        back_us = int(self._front.between(*self.realm.scenario.proxies.restart_s) * 1e6)
+        back_us = int(self.front.between(*self.realm.scenario.proxies.restart_s) * 1e6)
         self._end_proxy(proxy, "stopped", back_us)
 
     def kill_proxy(self, proxy: int, back_us: int) -> None:
@@ -364,13 +278,13 @@
         if there.ended:
             return
         self._end_proxy(there, "killed", back_us)
-        wait_us = int(self._front.between(*self.realm.scenario.proxies.notice_s) * 1e6)
+        wait_us = int(self.front.between(*self.realm.scenario.proxies.notice_s) * 1e6)
         self.kernel.at(self.kernel.now_us() + wait_us, lambda: self._notice(proxy))
 
     def _notice(self, proxy: int) -> None:
         """The front notices a dead proxy, unless it is back by then."""
         if self.proxies[proxy].ended:
-            self._admitted[proxy] = False
+            self.admitted[proxy] = False
 
     def _end_proxy(self, proxy: Proxy, how: str, back_us: int) -> None:
         proxy.ended = True
@@ -385,7 +299,7 @@
         self.kernel.at(self.kernel.now_us() + ADMIT_US, partial(self._admit, proxy))
 
     def _admit(self, proxy: int) -> None:
-        self._admitted[proxy] = not self.proxies[proxy].ended
+        self.admitted[proxy] = not self.proxies[proxy].ended
 
     def freeze_proxy(self, proxy: int, for_us: int) -> None:
         there = self.proxies[proxy]
--- /dev/null
+++ b/stoatgw/lab/play.py
@@ -0,0 +1,191 @@
+"""One run, from scenario and seed to a result that is the same whoever makes it."""
+
+from __future__ import annotations
+
+import gzip
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from stoatgw.emulator.checker import Checker, Figures
+from stoatgw.emulator.events import Event, EventSink, What
+from stoatgw.emulator.ledger import goal
+from stoatgw.emulator.policies import floor, top
+from stoatgw.emulator.realm import Realm
+from stoatgw.emulator.scenario import Scenario
+from stoatgw.emulator.virtual import AFTER_US, Policy, World, module
+
+POLICIES: dict[str, Policy] = {"module": module, "floor": floor, "top": top}
+SAMPLE_US = 1_000_000
+SERVERS_SHOWN = 40  # of a larger fleet only quantiles are kept
+SETUP_MOST_US = 60_000_000
+BROKEN_KEPT = 50
+
+
+class Result(msgspec.Struct, kw_only=True):
+    """What one run showed. No time of day, path or machine is in it."""
+
+    scenario: str
+    digest: str
+    seed: int
+    policy: str
+    driver: str
+    void: str = ""  # why the run does not count, or empty
+    service: dict[str, float]
+    goal: float
+    tally: dict[str, int]
+    shares: dict[str, float]
+    broken: list[str]
+    broken_count: int
+    events: int
+    events_digest: str
+    counts: dict[str, int]
+    faults: list[tuple[float, str]]
+    asked: list[list[float]]
+    earned: list[list[float]]
+    classes: list[str]
+    seconds: dict[str, list[float]]  # what was counted or seen in each second
+    loads: dict[str, list[float]]  # utilisation at each second, by server or quantile
+    setups: list[str]  # HDR histograms of set-up times in us, by class, base64
+    proxies: int
+    servers: int
+    standing: int
+
+
+@dataclass(slots=True)
+class Recorder:
+    """Counts by second from the event log, and the faults."""
+
+    seconds: int
+    counts: dict[str, list[float]]
+    faults: list[tuple[float, str]]
+
+    @classmethod
+    def of(cls, scenario: Scenario) -> Recorder:
+        seconds = int(scenario.length_s + 0.999)
+        names = ("up", "busy", "err", "moved", "over", "sent", "cut")
+        return cls(seconds, {name: [0.0] * seconds for name in names}, [])
+
+    def feed(self, event: Event) -> None:
+        if event.what is What.FAULT:
+            self.faults.append((event.t_us / 1e6, event.detail))
+            return
+        second = event.t_us // 1_000_000
+        name = event.detail if event.what is What.ANSWER else event.what.value
+        if 0 <= second < self.seconds and name in self.counts and event.what is not What.UP:
+            self.counts[name][second] += 1
+
+
+def figures(scenario: Scenario) -> Figures:
+    rules = scenario.module
+    return Figures(round(rules.drain_grace_ms * 1000), rules.fall_multiple, round(rules.fall_ms * 1000))
+
+
+def play_virtual(
+    scenario: Scenario, seed: int, policy: str, events: Path | None = None, shuffle: int | None = None
+) -> Result:
+    """Play in virtual time; `events` is where the event log goes (gzip), if it is kept."""
+    checker, recorder = Checker(figures(scenario)), Recorder.of(scenario)
+    file = gzip.GzipFile(events, "wb", 6, mtime=0) if events is not None else None
+    try:
+        sink = EventSink((checker.feed, recorder.feed), file)
+        world = World(scenario, seed, sink, POLICIES[policy], shuffle)
+        loads = sample_loads(world.realm)
+        world.run()
+        checker.finish(world.realm.length_us + AFTER_US)
+    finally:
+        if file is not None:
+            file.close()
+    return make_result(world.realm, seed, policy, "virtual", world.tally, world.setups_us, checker, recorder, loads)
+
+
+def play_loopback(scenario: Scenario, seed: int, events: Path | None = None, shift: int = 0) -> Result:
+    """Play with real proxies on 127.0.0.0/8, in real time; `shift` moves the networks that it uses."""
+    # Imported here: most uses of this module play in virtual time.
+    from stoatgw.emulator.loopback.driver import BASE, play_world
+
+    checker, recorder = Checker(figures(scenario)), Recorder.of(scenario)
+    file = gzip.GzipFile(events, "wb", 6, mtime=0) if events is not None else None
+    try:
+        sink = EventSink((checker.feed, recorder.feed), file)
+        world, void = play_world(scenario, seed, sink, BASE + shift, sample_loads)
+    finally:
+        if file is not None:
+            file.close()
+    checker.finish(world.realm.length_us + AFTER_US)
+    return make_result(
+        world.realm, seed, "module", "loopback", world.tally, world.setups_us, checker, recorder, world.loads, void
+    )
+
+
+def sample_loads(realm: Realm) -> dict[str, list[float]]:
+    """Utilisation once a second, filled while the run goes on."""
+    loads: dict[str, list[float]] = {}
+    few = realm.scenario.fleet.servers <= SERVERS_SHOWN
+
+    def sample(second: int) -> None:
+        serving = realm.serving()
+        if few:
+            for machine in serving:
+                row = loads.setdefault(machine.draw.name, [])
+                row.extend([-1.0] * (second - len(row)))  # -1: it did not serve then
+                row.append(round(machine.utilisation, 4))
+        elif serving:
+            values = sorted(machine.utilisation for machine in serving)
+            for name, part in (("p10", 0.1), ("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("max", 1.0)):
+                loads.setdefault(name, []).append(round(values[int(part * (len(values) - 1))], 4))
+        loads.setdefault("mean", []).append(
+            round(sum(machine.utilisation for machine in serving) / max(1, len(serving)), 4)
+        )
+
+    for second in range(int(realm.scenario.length_s)):
+        realm.scheduler.at(realm.start_us + second * SAMPLE_US + 1, lambda s=second: sample(s))  # type: ignore[misc]
+    return loads
+
+
+def make_result(
+    realm: Realm, seed: int, policy: str, driver: str, tally: dict[str, int], setups_us: list[tuple[int, int]],
+    checker: Checker, recorder: Recorder, loads: dict[str, list[float]], void: str = "",
+) -> Result:  # fmt: skip
+    """Figures of a run that is over."""
+    scenario, service = realm.scenario, realm.ledger.service()
+    clients = max(1, len(realm.population))
+    shares = {
+        "cross_zone": tally["cross_us"] / max(1, tally["stood_us"]),
+        "waste": tally["wasted"] / max(1, tally["attempts"]),
+        "probe": tally["probes"] / max(1, tally["first_tries"]),
+        "moves": tally["moved"] / clients,
+        "late_fail": tally["late_failures"] / max(1, tally["tries"]),
+    }
+    histograms = [HdrHistogram(1, SETUP_MOST_US, 3) for _ in scenario.clients.classes]
+    for profile, took_us in setups_us:
+        histograms[profile].record_value(min(SETUP_MOST_US, max(1, took_us)))
+    return Result(
+        scenario=scenario.name, digest=scenario.digest, seed=seed, policy=policy, driver=driver, void=void,
+        service=service, goal=goal(service, shares), tally=tally, shares=shares,
+        broken=[str(each) for each in checker.broken[:BROKEN_KEPT]], broken_count=len(checker.broken),
+        events=realm.sink.count, events_digest=realm.sink.digest, counts=checker.counts, faults=recorder.faults,
+        asked=[[round(x, 6) for x in row] for row in realm.ledger.asked.tolist()],
+        earned=[[round(x, 6) for x in row] for row in realm.ledger.earned.tolist()],
+        classes=[each.name for each in scenario.clients.classes], seconds=recorder.counts, loads=loads,
+        setups=[histogram.encode().decode() for histogram in histograms],
+        proxies=scenario.proxies.count, servers=scenario.fleet.servers, standing=realm.population.standing,
+    )  # fmt: skip
+
+
+def read_setups(result: Result) -> list[Any]:
+    """The histograms of a result, decoded."""
+    return [HdrHistogram.decode(text.encode()) for text in result.setups]
+
+
+def encode(result: Result) -> bytes:
+    return msgspec.json.format(msgspec.json.encode(result, order="deterministic"), indent=1) + b"\n"
+
+
+def decode(data: bytes) -> Result:
+    return msgspec.json.decode(data, type=Result)
+
+
--- /dev/null
+++ b/stoatgw/lab/speed.py
@@ -0,0 +1,72 @@
+"""How fast virtual time runs, and how its cost grows with the fleet, as a table and a chart."""
+
+from __future__ import annotations
+
+import resource
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+import numpy as np
+
+from stoatgw.emulator.events import EventSink
+from stoatgw.emulator.scenario import Scenario, Shrink
+from stoatgw.emulator.virtual import World
+from stoatgw.lab.experiment import LabError, find_scenario
+from stoatgw.lab.tables import Value, write_csv
+
+LENGTHS_S = {8: 60.0, 100: 30.0}  # larger fleets are played for `LONG_S`
+LONG_S = 10.0
+SERVERS_A_PROXY = 20
+REPEATS = 3
+
+
+def scaled(servers: int) -> Scenario:
+    """A calm day with a drain in it, of so many servers, one proxy for twenty of them (three at least)."""
+    from stoatgw.emulator.scenario import load
+
+    base = load(find_scenario("large"))
+    length_s = LENGTHS_S.get(servers, LONG_S)
+    proxies = max(3, servers // SERVERS_A_PROXY)
+    per_core = base.fleet.per_core if servers >= 100 else (20.0, 40.0)
+    return msgspec.structs.replace(
+        base, name=f"speed-{servers}", length_s=length_s,
+        fleet=msgspec.structs.replace(base.fleet, servers=servers, per_core=per_core),
+        proxies=msgspec.structs.replace(base.proxies, count=proxies),
+        faults=(Shrink(at_s=length_s / 3, to=0.9, over_s=length_s / 6),),
+    )  # fmt: skip
+
+
+def measure(servers: tuple[int, ...], out: Path) -> Iterator[str]:
+    """Lines for people; the table goes to OUT/speed.csv and the chart to OUT/speed.png."""
+    if out.exists() and not out.is_dir():
+        raise LabError(f"{out}: is no folder")
+    out.mkdir(parents=True, exist_ok=True)
+    rows: list[dict[str, Value]] = []
+    for count in servers:
+        scenario = scaled(count)
+        took, built = [], []
+        for repeat in range(1 if count >= 500 else REPEATS):
+            began = time.perf_counter()
+            world = World(scenario, repeat, EventSink())
+            ready = time.perf_counter()
+            world.run()
+            built.append(ready - began)
+            took.append(time.perf_counter() - ready)
+        wall = float(np.median(took))
+        row: dict[str, Value] = {
+            "servers": count, "proxies": scenario.proxies.count, "standing": world.realm.population.standing,
+            "tries": world.tally["tries"], "simulated_s": scenario.length_s, "wall_s": round(wall, 3),
+            "speed": round(scenario.length_s / wall, 3), "steps": world.kernel.steps,
+            "us_a_step": round(1e6 * wall / world.kernel.steps, 2), "set_up_s": round(float(np.median(built)), 3),
+            "peak_mib": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
+        }  # fmt: skip
+        rows.append(row)
+        yield ", ".join(f"{name} {value}" for name, value in row.items())
+    write_csv(out / "speed.csv", rows)
+    from stoatgw.lab.charts import draw_speed
+
+    yield str(draw_speed(rows, out / "speed.png"))
+
+
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -14,12 +14,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stoatgw.__main__ import main
 from stoatgw.backends.backend import GRACE_GUARD_US, Backends
 from stoatgw.config.deployment import ConfigError, Deployment, read
 from stoatgw.decisions.interface import Lifecycle
 from stoatgw.director.http import HttpError, HttpLines
 from stoatgw.director.list import ListError, ListReader
+from stoatgw.service import main
 
 FIXED = settings(derandomize=True, deadline=None, max_examples=150)
 READER = ListReader(("a", "b"), ("m1", "m2"))
