Lab: recovery scorecard, overviews, agreement of drivers; a first planner of moves, off

Need: the lab must tell how a run recovered and whether loopback shows what virtual time foretells; recovery work needs a planner to measure.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# build: the environment that run and sim need; test and lint: as CI; run: the proxy by LB_CONFIG.
-.PHONY: build dev test lint run sim
+# build: what run and sim need. lab: the command line and the lab beside it. try: a first run on a built-in scenario.
+.PHONY: build lab dev try test lint run sim
 
 build: .venv/.built
 
@@ -10,7 +10,18 @@
 	.venv/bin/pip -q install -r requirements.txt
 	touch .venv/.built
 
-dev: build
+lab: .venv/.lab
+
+.venv/.lab: .venv/.built requirements-lab.txt pyproject.toml
+	.venv/bin/pip -q install -r requirements-lab.txt
+	.venv/bin/pip -q install --no-deps --no-build-isolation -e .
+	touch .venv/.lab
+
+# Real proxies on 127.0.0.0/8 before stand-in session servers, discovery and clients; about half a minute.
+try: lab
+	.venv/bin/stoatgw lab run calm --driver loopback --seeds 1 --set length_s=20 --out "$$(mktemp -d)/try"
+
+dev: lab
 	.venv/bin/pip -q install -r requirements-dev.txt
 
 lint: dev
--- a/stoatgw/backends/backend.py
+++ b/stoatgw/backends/backend.py
@@ -17,6 +17,11 @@
     port: int
     leaving_us: int | None = None  # when this proxy was told that it drains or is gone
 
+    @property
+    def address(self) -> tuple[bytes, int]:
+        """For connecting: given as text, a host goes through the idna codec each time, a quarter of a connect."""
+        return self.host.encode(), self.port
+
     def may_send(self, now_us: int, grace_us: int) -> bool:
         return self.leaving_us is None or now_us < self.leaving_us + grace_us - GRACE_GUARD_US
 
--- a/stoatgw/backends/fetch.py
+++ b/stoatgw/backends/fetch.py
@@ -50,7 +50,7 @@
         try:
             wait_us = cut_at_us - self._clock.now_us()
             async with asyncio.timeout(min(self._dial_us, wait_us) / 1e6) as limit:
-                await loop.sock_connect(self._sock, (self._backend.host, self._backend.port))
+                await loop.sock_connect(self._sock, self._backend.address)
                 now_us = self._clock.now_us()
                 # Guards the drain rule: connecting may have outlasted the grace.
                 if not self._backend.may_send(now_us, self._grace_us):
--- a/stoatgw/backends/probe.py
+++ b/stoatgw/backends/probe.py
@@ -92,7 +92,7 @@
 
     async def _connect(self, sock: socket.socket, backend: Backend) -> None:
         async with asyncio.timeout(self._dial_s):
-            await asyncio.get_running_loop().sock_connect(sock, (backend.host, backend.port))
+            await asyncio.get_running_loop().sock_connect(sock, backend.address)
 
     async def _ask(self, sock: socket.socket) -> Reply:
         loop, splitter, buffer = asyncio.get_running_loop(), Splitter(), bytearray(4096)
--- a/stoatgw/cli/lab.py
+++ b/stoatgw/cli/lab.py
@@ -113,6 +113,43 @@
     click.echo(str(write_report(folder)))
 
 
+@lab.command()
+@click.argument("folders", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder for the table and the chart.")
+@_one_line
+def overview(folders: tuple[Path, ...], out: Path) -> None:
+    """Policies by scenario: a table (CSV) and a chart of many experiments."""
+    from stoatgw.lab.charts import draw_scenarios
+    from stoatgw.lab.overview import by_scenario
+    from stoatgw.lab.show import rows_as_table
+    from stoatgw.lab.tables import write_csv
+
+    rows, shown = by_scenario(list(folders))
+    out.mkdir(parents=True, exist_ok=True)
+    write_csv(out / "scenarios.csv", rows)
+    draw_scenarios(shown, out / "scenarios.png", "service (whole run), mean and 95% interval")
+    rows_as_table(rows, "policies by scenario")
+
+
+@lab.command()
+@click.option("--pair", "pairs", nargs=2, multiple=True, required=True, type=click.Path(path_type=Path),
+              metavar="VIRTUAL LOOPBACK", help="Two folders of one scenario; may be repeated.")  # fmt: skip
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder for the table and the chart.")
+@_one_line
+def agree(pairs: tuple[tuple[Path, Path], ...], out: Path) -> None:
+    """Whether loopback runs show what virtual runs foretell."""
+    from stoatgw.lab.charts import draw_agreement
+    from stoatgw.lab.overview import agreement
+    from stoatgw.lab.show import rows_as_table
+    from stoatgw.lab.tables import write_csv
+
+    found = [row for virtual, loopback in pairs for row in agreement(virtual, loopback)]
+    out.mkdir(parents=True, exist_ok=True)
+    write_csv(out / "agreement.csv", [row.record() for row in found])
+    draw_agreement(found, out / "agreement.png")
+    rows_as_table([row.record() for row in found], "loopback against virtual")
+
+
 @lab.command()
 @click.option("--servers", multiple=True, type=click.IntRange(2, 5000), default=(8, 100, 1000), show_default=True)
 @click.option("--out", type=click.Path(path_type=Path), required=True)
--- a/stoatgw/cli/main.py
+++ b/stoatgw/cli/main.py
@@ -33,12 +33,15 @@
 
 @stoatgw.command()
 @click.option("--lb-config", "path", type=click.Path(), help="The platform's configuration; LB_CONFIG by default.")
-def run(path: str | None) -> int:
+@click.option("--config", "own", type=click.Path(), help="The operators' own file; STOATGW_CONFIG by default.")
+def run(path: str | None, own: str | None) -> int:
     """Run the proxy in the foreground, as `python -m stoatgw` does."""
     from stoatgw.service import main as serve
 
     if path is not None:
         os.environ["LB_CONFIG"] = path
+    if own is not None:
+        os.environ["STOATGW_CONFIG"] = own
     return serve()
 
 
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -7,6 +7,7 @@
 import socket
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 
 from stoatgw.backends.backend import Backend
 from stoatgw.backends.delays import Messages
@@ -79,6 +80,7 @@
         self._early = bytearray()
         self._fetch: Fetch | None = None  # the one that is up
         self._fetching: asyncio.Task[None] | None = None
+        self._began = -1  # the last fetch whose task ran at all
         self._messages = Messages()
         self._between_lines = True  # on the way to the client
         self._move_asked = False
@@ -183,10 +185,13 @@
         self._fetching = asyncio.get_running_loop().create_task(
             self._run_fetch(req, attempt, server, cut_at_us, self._fetching)
         )
-        # A task that is cancelled before its first step runs no code of its own: its end is told all the
-        # same, and the owner passes over the second telling.
-        given_up = FetchEnded(req, attempt, FetchEnd(Status.REVOKED, Stage.CONNECTING, "never begun"))
-        self._fetching.add_done_callback(lambda _: self._house.owner.put(given_up))
+        self._fetching.add_done_callback(partial(self._never_begun, req, attempt))
+
+    def _never_begun(self, req: Req, attempt: int, _: asyncio.Task[None]) -> None:
+        """A task that is cancelled before its first step runs no code of its own: its end is told all the same."""
+        if self._began != attempt:
+            given_up = FetchEnd(Status.REVOKED, Stage.CONNECTING, "never begun")
+            self._house.owner.put(FetchEnded(req, attempt, given_up))
 
     def cancel(self, attempt: int) -> None:
         if self._fetching is not None:
@@ -218,6 +223,7 @@
         self, req: Req, attempt: int, server: str, cut_at_us: int, before: asyncio.Task[None] | None
     ) -> None:
         house, end, fetch = self._house, FetchEnd(Status.REVOKED, Stage.CONNECTING, "given up"), None
+        self._began = attempt
         try:
             if before is not None and not before.done():
                 await asyncio.wait([before])  # never two at a time
--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -71,6 +71,29 @@
         self._handlers.get(type(event), lambda _: None)(event)
         return self._actions
 
+    def beliefs(self, now_us: int) -> list[api.Belief]:
+        """What is believed of each ready server; nothing changes by asking."""
+        self._now_us = now_us
+        return [self._belief(server) for server in self._fleet.ready if self._fleet.rate is not None]
+
+    def _belief(self, server: Server) -> api.Belief:
+        late = self._now_us - server.delayed_us < NEWS_US
+        sound = not late and server.ejected_until_us <= self._now_us and server.probe_failures <= 1
+        return api.Belief(
+            server.entry.server, server.entry.zone, self._pressure(server, 0.0),
+            self._rate(server) / self._share(server), self._held(server), self._now_us - server.reported_us,
+            self._share(server), server.under_way, sound and server.under_way < SETUPS_EACH,
+            tuple(c.asked for c in server.mine.values() if c.standing and not c.moving),
+        )  # fmt: skip
+
+    def move(self, request: str) -> list[api.Action]:
+        """Send a standing connection away, as planned elsewhere; nothing if it is not one any more."""
+        connection = self._connections.get(request)
+        if connection is None or not connection.standing or connection.moving:
+            return []
+        connection.moving = True
+        return [api.Move(request)]
+
     def _log(self, kind: str, text: str) -> None:
         if self._now_us - self._logged_us.get(kind, -LOG_EVERY_US) >= LOG_EVERY_US:
             self._logged_us[kind] = self._now_us
@@ -206,8 +229,10 @@
         if self._by_weight(server):
             count = min(1e6, self._fleet.kind_held[server.entry.kind] / server.entry.weight)
         count += server.unshown_units
-        each = max(0.0, sum(self._own.placed)) / max(1, len(self._fleet.ready))
-        return max(0.0, count + each * (self._settings.balancers - 1))
+        if self._settings.balancers > 1:
+            each = max(0.0, sum(self._own.placed)) / max(1, len(self._fleet.ready))
+            count += each * (self._settings.balancers - 1)
+        return max(0.0, count)
 
     def _share(self, server: Server) -> float:
         """Part of its full capacity that a server surely has by now."""
@@ -410,17 +435,18 @@
         # All balancers see the same late picture: if each took the lowest, all would take the same.
         wanted = max(CANDIDATES, len(self._fleet.ready) // self._settings.balancers)
         best, best_key = None, (True, True, True, float("inf"))
+        known = self._fleet.rate is not None
         # Those just started are few for each balancer, and a random draw would hardly ever meet them.
         for servers in (self._fleet.filling, self._fleet.near, self._fleet.far):
             found, first = 0, int(self._random.random() * len(servers))
-            drawn = [*servers[first:], *servers[:first]][:EXAMINED]
-            for server in sorted(drawn, key=lambda server: self._units_on(server, connection)):
+            drawn = [*servers[first : first + EXAMINED], *servers[: max(0, first + EXAMINED - len(servers))]]
+            rows = [(self._units_on(server, connection), server) for server in drawn[:EXAMINED]]
+            for units, server in sorted(rows, key=lambda row: row[0]):
                 out = self._fleet.heed_ejection and server.ejected_until_us > self._now_us
                 out = out or server is leaving or server.entry.server in connection.tried
                 out = out or server.under_way >= SETUPS_EACH
                 if out or not self._in_scope(connection, server):
                     continue
-                units, known = self._units_on(server, connection), self._fleet.rate is not None
                 pressure = self._pressure(server, units) if known else self._held(server)
                 full = servers is self._fleet.filling and not self._cold_room(server, units)
                 if full or (known and pressure >= margin):
--- a/stoatgw/decisions/interface.py
+++ b/stoatgw/decisions/interface.py
@@ -234,6 +234,22 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Belief:
+    """What the module believes of a ready server now, for whoever plans moves."""
+
+    server: str
+    zone: int
+    load: float  # over what it can do now
+    unit: float  # what one mean connection adds to that
+    count: float  # connections held, by all balancers
+    age_us: int  # of its last report
+    share: float  # part of its full capacity that it has by now
+    under_way: int  # own set-ups
+    sound: bool  # neither left out nor failing nor late
+    mine: tuple[Request, ...]  # own standing connections on it that are not moving
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeResult:
     """What one probe found; the report follows `Settings.report_columns`."""
--- a/stoatgw/emulator/doors.py
+++ b/stoatgw/emulator/doors.py
@@ -65,7 +65,8 @@
         now_us = self._kernel.now_us()
         # As on sockets: the proxy knows what the line says, and when it read it.
         self.req.deadline_us = now_us + self.patience_us
-        realm.log(What.TAKEN, proxy.name, self.name, number=self.asked_us + self.patience_us - realm.start_us)
+        realm.log(What.TAKEN, proxy.name, self.name, number=self.asked_us + self.patience_us - realm.start_us,
+                  detail=str(self.client.index))  # fmt: skip
         proxy.owner.put(Arrived(self.req))
 
     def client_left(self) -> None:
@@ -211,7 +212,7 @@
         self.proxy.standing.setdefault(server, {})[self.name] = self
         self._realm.log(What.ENDED, self.proxy.name, self.name, server, self._attempt, "up")
         self._answer("up", 0)
-        self._realm.log(What.UP, self.proxy.name, self.name, server)
+        self._realm.log(What.UP, self.proxy.name, self.name, server, detail=str(self.client.index))
         self.proxy.owner.put(FetchUp(self.req, self._attempt))
         if self.machine.life is Life.DRAINING:  # it sent all away while this UP was on its way
             self.server_ends("MOVE", Status.REVOKED)
@@ -226,7 +227,7 @@
         drop = partial(self.server_ends, "drop", Status.DROPPED)
         machine.hold(self._kernel.now_us(), Held(self.name, self.profile, units, self.group, True, drop))
         self._kernel.at(self._kernel.now_us() + change_us, partial(self._change, machine))
-        self._realm.log(What.UP, self.proxy.name, self.name, machine.draw.name)
+        self._realm.log(What.UP, self.proxy.name, self.name, machine.draw.name, detail=str(self.client.index))
 
     def _end_attempt(self, status: Status, why: str) -> None:
         """An attempt that is not up is over."""
--- a/stoatgw/emulator/events.py
+++ b/stoatgw/emulator/events.py
@@ -17,7 +17,7 @@
 class What(StrEnum):
     """What a record tells; `number` and `detail` mean what stands here."""
 
-    TAKEN = "taken"  # the proxy took a req; number: when its client's time is up, us
+    TAKEN = "taken"  # the proxy took a req; number: when its client's time is up, us; detail: client
     ANSWER = "answer"  # the proxy gave its final answer; detail: up, busy or err; number: advice, us
     GONE = "gone"  # the req's client left before any answer
     SENT = "sent"  # the first byte of an attempt's line leaves the proxy; number: attempt
@@ -28,7 +28,7 @@
     LIVE = "live"  # a server answers from now on
     SILENT = "silent"  # a server answers nothing from now on
     FELL = "fell"  # a cold server was pushed over
-    UP = "up"  # a connection stands at a server
+    UP = "up"  # a connection stands at a server; detail: client
     MOVED = "moved"  # the proxy sent MOVE to a standing client
     CUT = "cut"  # the proxy ended a standing connection without MOVE
     OVER = "over"  # a standing connection is over for another reason; detail: which
--- a/stoatgw/emulator/loopback/clients.py
+++ b/stoatgw/emulator/loopback/clients.py
@@ -73,7 +73,8 @@
             deadline_us = self.asked_us + (RESTORE_MS if self.at else self.deadline_ms) * 1000
             name = world.realm.proxies[self.proxy]
             if not self.at:
-                world.realm.log(What.TAKEN, name, self.name, number=deadline_us - world.realm.start_us)
+                index = str(self.client.index)
+                world.realm.log(What.TAKEN, name, self.name, number=deadline_us - world.realm.start_us, detail=index)
                 world.scheduler.at(deadline_us, partial(world.give_up, self))
             lines.write(self.line + b"\r\n")
             first = await lines.read_line()
@@ -106,7 +107,7 @@
             world.realm.log(What.ANSWER, name, self.name, number=advice_us, detail=kind)
         if kind == "up":
             self.server = rest.decode("ascii", "replace")
-            world.realm.log(What.UP, name, self.name, self.server)
+            world.realm.log(What.UP, name, self.name, self.server, detail=str(self.client.index))
             if not self.up.done():
                 self.up.set_result(True)
         elif not self.up.done():
--- a/stoatgw/emulator/loopback/discovery.py
+++ b/stoatgw/emulator/loopback/discovery.py
@@ -75,6 +75,12 @@
             watch.write(_chunk(line))
         return bool(self._watches)
 
+    def garble(self) -> None:
+        """A line that is no JSON, an object without its list, and an end in the middle of a chunk."""
+        for watch in list(self._watches):
+            watch.write(_chunk(b'{"generation":\xff,"inst\n') + _chunk(b'{"generation":7}\n') + b"ffff\r\n{")
+            watch.end()
+
     async def _keep_alive(self) -> None:
         while True:
             await asyncio.sleep(ALIVE_S)
--- a/stoatgw/emulator/loopback/driver.py
+++ b/stoatgw/emulator/loopback/driver.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import uvloop
 
 from stoatgw.emulator import troubles
@@ -125,7 +126,7 @@
             }  # fmt: skip
             # The driver keeps the first core to itself where there are enough.
             mine = {cores[1 + index % (len(cores) - 1)]} if len(cores) > 1 else set(cores)
-            self.proxies.append(ProxyProcess(name, config, self._folder, mine))
+            self.proxies.append(ProxyProcess(name, config, self._folder, mine, self._own_file()))
         if len(cores) > 1:
             os.sched_setaffinity(0, {cores[0]})
         try:
@@ -139,6 +140,15 @@
         for name in realm.proxies:
             realm.log(What.PROXY, name, detail="up")
 
+    def _own_file(self) -> dict[str, str]:
+        """The operators' own file, where the scenario sets something in it."""
+        operators = self.realm.scenario.operators
+        if operators == type(operators)():
+            return {}
+        file = self._folder / "stoatgw.toml"
+        file.write_bytes(msgspec.toml.encode({"version": 1, **msgspec.to_builtins(operators)}))
+        return {"STOATGW_CONFIG": str(file)}
+
     async def _stand_all(self) -> None:
         """All that stand at the start come by `at=ID`; the run starts once they are up."""
         visits = []
@@ -160,6 +170,9 @@
     async def _stop_proxies(self) -> None:
         """Ask all to stop, and read from their logs what they still held and what went wrong inside."""
         realm = self.realm
+        for proxy in self.proxies:
+            if proxy.peak_mib() > realm.scenario.proxies.memory_mb:
+                realm.log(What.NOTE, proxy.name, detail=f"holds {proxy.peak_mib()} MiB, over its limit")
         for index, proxy in enumerate(self.proxies):
             if proxy.runs:
                 self._down.add(index)
@@ -220,6 +233,9 @@
         self._discoveries[proxy].tell(rows, whole)
         self._log_told(proxy, rows)
 
+    def garble(self, proxy: int) -> None:
+        self._discoveries[proxy].garble()
+
     def told_all(self, proxy: int) -> None:
         self._log_told(proxy, list(self.realm.known[proxy].values()))
 
--- a/stoatgw/emulator/loopback/processes.py
+++ b/stoatgw/emulator/loopback/processes.py
@@ -21,7 +21,11 @@
 class ProxyProcess:
     """One real proxy, pinned to a core, with its log in a file."""
 
-    def __init__(self, name: str, config: dict[str, Any], folder: Path, cores: set[int]) -> None:
+    def __init__(
+        self, name: str, config: dict[str, Any], folder: Path, cores: set[int], operators: dict[str, str] | None = None
+    ) -> None:
+        """`operators`: further environment, such as the name of the operators' own file."""
+        self._operators = operators or {}
         self.name, self._folder, self._cores = name, folder, cores
         self._config = folder / f"{name}.json"
         self._config.write_text(json.dumps(config))
@@ -41,7 +45,7 @@
         environment = {
             name: value for name, value in os.environ.items() if not name.startswith(("LB_", "STOATGW_"))
         } | {"LB_CONFIG": str(self._config), "LB_NAME": self.name, "PYTHONDONTWRITEBYTECODE": "1",
-             "PYTHONPATH": str(ROOT)}  # fmt: skip
+             "PYTHONPATH": str(ROOT)} | self._operators  # fmt: skip
         self._process = subprocess.Popen(
             [sys.executable, "-m", "stoatgw"], env=environment, stdout=self._log, stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL, cwd=ROOT,
@@ -57,6 +61,14 @@
     def pid(self) -> int:
         return self._process.pid if self._process is not None else 0
 
+    def peak_mib(self) -> int:
+        """Resident memory at its most, of the process that runs now; 0 where none does."""
+        with contextlib.suppress(OSError, ValueError):
+            for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) // 1024
+        return 0
+
     @property
     def status(self) -> int | None:
         return self._process.poll() if self._process is not None else None
--- a/stoatgw/emulator/scenario.py
+++ b/stoatgw/emulator/scenario.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from stoatgw.rebalance.limits import Limits
+
 BYTES_MOST = 1 << 20  # a scenario is a page or two; guards against being handed a dump
 VERSION = 1
 
@@ -138,6 +140,12 @@
     fall_ms: Positive = 1000.0
 
 
+class Operators(Table, frozen=True):
+    """What of the operators' own file a scenario sets."""
+
+    rebalance: Limits = Limits()
+
+
 class Fault(Table, frozen=True, tag_field="kind", tag=lambda name: re.sub(r"(?<!^)(?=[A-Z])", "_", name).lower()):
     """Base of the faults: each begins at `at_s`."""
 
@@ -257,6 +265,7 @@
     discovery: Discovery = Discovery()
     proxies: Proxies = Proxies()
     module: Module = Module()
+    operators: Operators = Operators()
     faults: tuple[Faults, ...] = ()
 
     @property
@@ -302,7 +311,8 @@
     field = path.rstrip("`") if found else ""
     unknown = re.search(r"unknown field `([^`]*)`", message)
     if unknown is not None:
-        known = sorted({name for table in _tables() for name in table.__struct_fields__})
+        names = {name for table in _tables() for name in table.__struct_fields__}
+        known = sorted(names | set(Limits.__struct_fields__))
         near = difflib.get_close_matches(unknown.group(1), known, 1)
         field = f"{field}.{unknown.group(1)}" if field else unknown.group(1)
         message = "unknown field" + (f"; nearest known name: {near[0]}" if near else "")
--- a/stoatgw/emulator/troubles.py
+++ b/stoatgw/emulator/troubles.py
@@ -101,9 +101,9 @@
                 return fault.for_s
             case files.GarbledDiscovery():
                 for proxy in range(len(realm.proxies)):
-                    realm.tell_whole(proxy)
-                    self._later(0.05, lambda p=proxy: realm.tell_whole(p))  # type: ignore[misc]
-                return 0.05
+                    stage.garble(proxy)
+                    self._later(0.5, lambda p=proxy: realm.tell_whole(p))  # type: ignore[misc]
+                return 0.5
             case files.CutZones():
                 realm.cut = True
                 stage.cut_zones(True)
--- a/stoatgw/emulator/virtual.py
+++ b/stoatgw/emulator/virtual.py
@@ -35,6 +35,7 @@
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import Drain, Heard, Listed, Probed, Stood
 from stoatgw.owner.owner import Module, Owner
+from stoatgw.rebalance.mover import Rebalancer
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
@@ -46,6 +47,7 @@
 STATES = {"SERVING": Lifecycle.ON, "DRAINING": Lifecycle.FADING, "DELETED": Lifecycle.OFF}
 NEWCOMERS_US = (200_000, 400_000)  # after SIGTERM the front still sends newcomers for so long
 DRAIN_LEAST_US, DRAIN_MOST_US, DRAIN_LOOK_US = 1_000_000, 2_500_000, 20_000
+WATCH_AGAIN_US = 100_000  # a proxy that lost its watch has it again so soon
 ADMIT_US = 100_000  # the front finds a proxy ready so long after its start
 
 Make = Callable[[Settings, int], Module]
@@ -142,7 +144,9 @@
         settings = read_settings(flatten(realm.settings(index)))
         starts, self._starts[index] = self._starts[index], self._starts[index] + 1
         seed = realm.streams.number(f"module {index}", starts)
-        owner = Owner(settings, seed, self.clock, SilentLog(name, realm), counters, self._make)
+        limits = realm.scenario.operators.rebalance
+        mover = Rebalancer(limits, settings, seed) if limits.enabled else None
+        owner = Owner(settings, seed, self.clock, SilentLog(name, realm), counters, self._make, mover)
         draws = Uniforms(realm.streams.of(f"proxy {index}", starts))
         proxy = Proxy(index, name, realm.proxy_zone(index), loop, owner, Backends(), settings, draws, counters)
         realm.log(What.PROXY, name, detail="up")
@@ -237,6 +241,10 @@
         if not there.ended:
             there.loop.deliver(lambda: self._told(there, rows, whole))
 
+    def garble(self, proxy: int) -> None:
+        """What cannot be read changes nothing; the watch begins anew, with the whole list."""
+        self.kernel.at(self.kernel.now_us() + WATCH_AGAIN_US, partial(self.realm.tell_whole, proxy))
+
     def _told(self, proxy: Proxy, rows: list[Told], whole: bool) -> None:
         entries = _entries(rows)
         for row in rows:
--- a/stoatgw/lab/bench.py
+++ b/stoatgw/lab/bench.py
@@ -287,7 +287,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
-        await loop.sock_connect(server, (host, PORT))
+        await loop.sock_connect(server, (host.encode(), PORT))  # as the proxy does: text goes through a codec
         ways = [loop.create_task(_copy(client, server)), loop.create_task(_copy(server, client))]
         await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
         for way in ways:
--- a/stoatgw/lab/charts.py
+++ b/stoatgw/lab/charts.py
@@ -13,6 +13,7 @@
 from matplotlib import pyplot as plt
 
 from stoatgw.lab.compare import Row, interval
+from stoatgw.lab.overview import Agreement
 from stoatgw.lab.play import Result, read_setups
 
 COLOURS = {"module": "#1f5fa8", "floor": "#b5542b", "top": "#3a8a4d"}
@@ -161,3 +162,18 @@
     right.set(xscale="log", xlabel="standing connections", ylabel="us a simulated s and connection", title="cost")
     right.set_ylim(0, None)
     return _save(figure, path)
+
+
+def draw_agreement(rows: list[Agreement], path: Path) -> Path:
+    """For each scenario and figure: the interval that virtual runs foretell, and the loopback mean."""
+    figure, axes = plt.subplots(figsize=(9, 0.4 * len(rows) + 1.4))
+    places = np.arange(len(rows))[::-1]
+    middle = np.array([row.virtual for row in rows])
+    spans = np.array([[row.virtual - row.low, row.high - row.virtual] for row in rows]).T
+    spans = np.where(np.isfinite(spans), np.maximum(spans, 0.0), 0.0)
+    axes.errorbar(middle, places, xerr=spans, fmt="|", color="#1f5fa8", capsize=4, label="virtual, 95% interval")
+    axes.plot([row.loopback for row in rows], places, "o", color="#b5542b", label="loopback")
+    axes.set_yticks(places, [f"{row.scenario}: {row.figure}" for row in rows])
+    axes.set(title=f"{min(row.seeds for row in rows)} or more seeds each")
+    axes.legend(fontsize=8, loc="lower left")
+    return _save(figure, path)
--- a/stoatgw/lab/play.py
+++ b/stoatgw/lab/play.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import gzip
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -13,10 +13,12 @@
 from stoatgw.emulator.checker import Checker, Figures
 from stoatgw.emulator.events import Event, EventSink, What
 from stoatgw.emulator.ledger import goal
+from stoatgw.emulator.machine import Life
 from stoatgw.emulator.policies import floor, top
 from stoatgw.emulator.realm import Realm
 from stoatgw.emulator.scenario import Scenario
 from stoatgw.emulator.virtual import AFTER_US, Policy, World, module
+from stoatgw.lab.scorecard import Scorecard
 
 POLICIES: dict[str, Policy] = {"module": module, "floor": floor, "top": top}
 SAMPLE_US = 1_000_000
@@ -53,6 +55,7 @@
     proxies: int
     servers: int
     standing: int
+    recovery: dict[str, float] = {}  # see lab/scorecard.py
 
 
 @dataclass(slots=True)
@@ -90,16 +93,20 @@
     """Play in virtual time; `events` is where the event log goes (gzip), if it is kept."""
     checker, recorder = Checker(figures(scenario)), Recorder.of(scenario)
     file = gzip.GzipFile(events, "wb", 6, mtime=0) if events is not None else None
+    late = Late()
     try:
-        sink = EventSink((checker.feed, recorder.feed), file)
+        sink = EventSink((checker.feed, recorder.feed, late.feed), file)
         world = World(scenario, seed, sink, POLICIES[policy], shuffle)
+        late.card = card = make_card(world.realm)
         loads = sample_loads(world.realm)
         world.run()
         checker.finish(world.realm.length_us + AFTER_US)
     finally:
         if file is not None:
             file.close()
-    return make_result(world.realm, seed, policy, "virtual", world.tally, world.setups_us, checker, recorder, loads)
+    return make_result(
+        world.realm, seed, policy, "virtual", world.tally, world.setups_us, checker, recorder, loads, card
+    )
 
 
 def play_loopback(scenario: Scenario, seed: int, events: Path | None = None, shift: int = 0) -> Result:
@@ -109,16 +116,50 @@
 
     checker, recorder = Checker(figures(scenario)), Recorder.of(scenario)
     file = gzip.GzipFile(events, "wb", 6, mtime=0) if events is not None else None
+    late, cards = Late(), list[Scorecard]()
+
+    def watch(realm: Realm) -> dict[str, list[float]]:
+        cards.append(make_card(realm))
+        late.card = cards[0]
+        return sample_loads(realm)
+
     try:
-        sink = EventSink((checker.feed, recorder.feed), file)
-        world, void = play_world(scenario, seed, sink, BASE + shift, sample_loads)
+        sink = EventSink((checker.feed, recorder.feed, late.feed), file)
+        world, void = play_world(scenario, seed, sink, BASE + shift, watch)
     finally:
         if file is not None:
             file.close()
     checker.finish(world.realm.length_us + AFTER_US)
     return make_result(
-        world.realm, seed, "module", "loopback", world.tally, world.setups_us, checker, recorder, world.loads, void
-    )
+        world.realm, seed, "module", "loopback", world.tally, world.setups_us, checker, recorder, world.loads,
+        cards[0], void,
+    )  # fmt: skip
+
+
+@dataclass(slots=True)
+class Late:
+    """Hands records to a scorecard that can be made only once the world is there."""
+
+    card: Scorecard | None = None
+    before: list[Event] = field(default_factory=list)
+
+    def feed(self, event: Event) -> None:
+        if self.card is None:
+            self.before.append(event)
+            return
+        for early in self.before:
+            self.card.feed(early)
+        self.before.clear()
+        self.card.feed(event)
+
+
+def make_card(realm: Realm) -> Scorecard:
+    def load(server: str) -> float:
+        machine = realm.machines.get(server)
+        return machine.utilisation if machine is not None and machine.life is Life.SERVING else 0.0
+
+    worths = tuple(each.worth for each in realm.scenario.clients.classes)
+    return Scorecard(realm.population, worths, realm.length_us, load)
 
 
 def sample_loads(realm: Realm) -> dict[str, list[float]]:
@@ -148,7 +189,7 @@
 
 def make_result(
     realm: Realm, seed: int, policy: str, driver: str, tally: dict[str, int], setups_us: list[tuple[int, int]],
-    checker: Checker, recorder: Recorder, loads: dict[str, list[float]], void: str = "",
+    checker: Checker, recorder: Recorder, loads: dict[str, list[float]], card: Scorecard, void: str = "",
 ) -> Result:  # fmt: skip
     """Figures of a run that is over."""
     scenario, service = realm.scenario, realm.ledger.service()
@@ -173,6 +214,10 @@
         classes=[each.name for each in scenario.clients.classes], seconds=recorder.counts, loads=loads,
         setups=[histogram.encode().decode() for histogram in histograms],
         proxies=scenario.proxies.count, servers=scenario.fleet.servers, standing=realm.population.standing,
+        recovery={
+            name: round(value, 6)
+            for name, value in card.figures(realm.ledger.asked, realm.ledger.earned, loads, recorder.faults).items()
+        },
     )  # fmt: skip
 
 
--- a/stoatgw/lab/show.py
+++ b/stoatgw/lab/show.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
 from types import TracebackType
 
 import numpy as np
@@ -14,7 +15,7 @@
 from stoatgw.lab.compare import Row, interval
 from stoatgw.lab.experiment import Experiment
 from stoatgw.lab.play import Result
-from stoatgw.lab.tables import metrics
+from stoatgw.lab.tables import Value, metrics
 
 SHOWN = ("service", "worst_10s", "worst_class", "goal", "moves_per_client", "refused_per_try", "setup_p99_ms")
 
@@ -91,3 +92,12 @@
         table.add_row(row.name, f"{row.mean_a:.4f}", f"{row.mean_b:.4f}", f"{row.difference:+.4f}", span,
                       "*" if row.sure else "")  # fmt: skip
     _console().print(table)
+
+
+def rows_as_table(rows: Sequence[Mapping[str, Value]], title: str) -> None:
+    table = Table(box=box.SIMPLE, title=title)
+    for name in rows[0]:
+        table.add_column(name, justify="right" if isinstance(rows[0][name], int | float) else "left")
+    for row in rows:
+        table.add_row(*(str(value) for value in row.values()))
+    _console().print(table)
--- a/stoatgw/lab/tables.py
+++ b/stoatgw/lab/tables.py
@@ -36,6 +36,7 @@
         "setup_p50_ms": total.get_value_at_percentile(50.0) / 1e3,
         "setup_p99_ms": total.get_value_at_percentile(99.0) / 1e3,
         "rules_broken": float(result.broken_count),
+        **result.recovery,
     }
 
 
--- a/stoatgw/lines/grammar.py
+++ b/stoatgw/lines/grammar.py
@@ -24,7 +24,7 @@
     why: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # one is made for each request, and a frozen one takes three times as long
 class Open:
     """A client's first line."""
 
--- a/stoatgw/owner/messages.py
+++ b/stoatgw/owner/messages.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Protocol
 
-from stoatgw.decisions.interface import ListUpdate, NoteKind, Request, Status
+from stoatgw.decisions.interface import Belief, ListUpdate, NoteKind, Request, Status
 
 
 class Stage(Enum):
@@ -43,6 +43,16 @@
     def move(self) -> None: ...
 
 
+class Mover(Protocol):
+    """Who plans moves of standing connections, where the operators want them moved."""
+
+    step_us: int
+
+    def plan(self, beliefs: list[Belief], now_us: int) -> list[str]:
+        """The reqs to move in this step, in order."""
+        ...
+
+
 class Fleet(Protocol):
     """The backends' side: probes and the list."""
 
@@ -151,6 +161,11 @@
     over_us: int = field(default=1_200_000)
 
 
+@dataclass(frozen=True, slots=True)
+class Rebalance:
+    """The time for a step towards balance."""
+
+
 Message = (
-    Arrived | Stood | FetchUp | FetchEnded | ClientLeft | Heard | Listed | Probed | Due | Overdue | Drain
+    Arrived | Stood | FetchUp | FetchEnded | ClientLeft | Heard | Listed | Probed | Due | Overdue | Drain | Rebalance
 )
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -51,8 +51,10 @@
     Heard,
     Listed,
     Message,
+    Mover,
     Overdue,
     Probed,
+    Rebalance,
     Req,
     Stood,
 )
@@ -77,9 +79,10 @@
         log: EventLog,
         counters: Counters,
         make: Callable[[Settings, int], Module] = Balancer,
+        mover: Mover | None = None,
     ) -> None:
         self._settings, self._seed, self._clock, self._make = settings, seed, clock, make
-        self._log, self._counters = log, counters
+        self._log, self._counters, self._mover = log, counters, mover
         self._inbox: deque[Message] = deque()
         self._wake = asyncio.Event()
         self._reqs: dict[str, Req] = {}
@@ -101,6 +104,8 @@
     def start(self, fleet: Fleet) -> None:
         self._fleet, self._now_us = fleet, self._clock.now_us()
         self._perform(self._balancer.start(self._now_us))
+        if self._mover is not None:
+            asyncio.get_running_loop().call_later(self._mover.step_us / 1e6, self.put, Rebalance())
 
     async def run(self) -> None:
         while True:
@@ -162,6 +167,18 @@
                     self._fail(req)
             case Drain(newcomers_us, over_us):
                 self._drain(newcomers_us, over_us)
+            case Rebalance():
+                self._rebalance()
+
+    def _rebalance(self) -> None:
+        """One step of the mover; a fault of its own ends this step and nothing else."""
+        if self._mover is None or self._draining:
+            return
+        asyncio.get_running_loop().call_later(self._mover.step_us / 1e6, self.put, Rebalance())
+        if isinstance(self._balancer, Balancer):
+            for request in self._mover.plan(self._balancer.beliefs(self._now_us), self._now_us):
+                self._counters.add("moves_planned")
+                self._perform(self._balancer.move(request))
 
     def _tell(self, event: Event) -> None:
         self._perform(self._balancer.handle(event, self._now_us))
--- /dev/null
+++ b/stoatgw/rebalance/__init__.py
@@ -0,0 +1,11 @@
+"""Standing connections moved towards balance: which, from where, in which order, at which rate. Pure.
+
+Promises bounds in all, by server and by group, no connection moved twice within a span, and no move whose gain is
+under its cost. Where a moved client goes is left to the module, which admits it as it does any.
+"""
+
+from stoatgw.rebalance.limits import Limits
+from stoatgw.rebalance.picture import Held, Picture, Planned, View
+from stoatgw.rebalance.planner import Planner
+
+__all__ = ["Held", "Limits", "Picture", "Planned", "Planner", "View"]
--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -18,14 +19,18 @@
 from stoatgw.clients.listener import Listener
 from stoatgw.clients.room import Room
 from stoatgw.config.deployment import ConfigError, Deployment, load
+from stoatgw.decisions.interface import Settings
 from stoatgw.director.director import Director
 from stoatgw.director.list import ListReader
 from stoatgw.owner.clock import Clock
-from stoatgw.owner.messages import Drain
+from stoatgw.owner.messages import Drain, Mover
 from stoatgw.owner.owner import Owner
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
+if TYPE_CHECKING:
+    from stoatgw.config.operators import Operators
+
 DRAIN_LEAST_S, DRAIN_MOST_S = 1.0, 2.5  # newcomers come for 0.4 s more; killed after 2.7 s at the soonest
 
 
@@ -72,11 +77,31 @@
         self._director.move_to(fresh.discovery)
 
 
-async def serve(deployment: Deployment, path: str) -> None:
+def make_mover(operators: Operators | None, settings: Settings, seed: int) -> Mover | None:
+    """Who moves standing connections towards balance, if the operators' file asks for it."""
+    if operators is None or not operators.rebalance.enabled:
+        return None
+    from stoatgw.rebalance.mover import Rebalancer
+
+    return Rebalancer(operators.rebalance, settings, seed)
+
+
+def read_operators() -> Operators | None:
+    """The operators' own file, if STOATGW_CONFIG names one. Without it nothing of ours is loaded."""
+    path = os.environ.get("STOATGW_CONFIG")
+    if not path:
+        return None
+    from stoatgw.config.operators import load_operators
+
+    return load_operators(path)
+
+
+async def serve(deployment: Deployment, path: str, operators: Operators | None = None) -> None:
     loop, clock = asyncio.get_running_loop(), Clock()
     log, counters, backends = EventLog(deployment.name), Counters(), Backends()
     settings = deployment.settings
-    owner = Owner(settings, deployment.seed, clock, log, counters)
+    mover = make_mover(operators, settings, deployment.seed)
+    owner = Owner(settings, deployment.seed, clock, log, counters, mover=mover)
     columns = Columns(settings.report_columns)
     prober = Prober(owner, clock, columns, deployment.dial_timeout_us, counters)
     director = Director(
@@ -131,17 +156,17 @@
     try:
         if not path:
             raise ConfigError("LB_CONFIG: not set")
-        start(load(path), path)
+        start(load(path), path, read_operators())
     except ConfigError as fault:
         print(f"stoatgw: {fault}", file=sys.stderr)
         return 2
     return 0
 
 
-def start(deployment: Deployment, path: str) -> None:
+def start(deployment: Deployment, path: str, operators: Operators | None = None) -> None:
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     wanted = deployment.sockets if hard == resource.RLIM_INFINITY else min(deployment.sockets, hard)
     resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
     gc.freeze()
-    uvloop.run(serve(deployment, path))
+    uvloop.run(serve(deployment, path, operators))
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,6 +5,7 @@
 import pytest
 
 from stoatgw.decisions.interface import (
+    ClientGone,
     Existing,
     ListKind,
     ListUpdate,
@@ -589,3 +590,20 @@
     stand.now_us += SECOND * 8 // 10
     stand.ask()
     assert [type(action) for action in stand.actions] == [Refuse, Probe]
+
+
+def test_a_client_that_leaves_does_not_eject_its_server_but_a_draining_one_does() -> None:
+    """Where many clients left and came back at once, each took its server out for 4 s, and most were refused."""
+    for left, sent_to in ((True, "a"), (False, None)):
+        stand = Stand()
+        stand.fleet(a=0)
+        stand.report("a", 0.1, 10)
+        stand.ask(request="f" * 16)
+        stand.begin("f" * 16, "a")
+        if left:
+            stand.event(ClientGone("f" * 16))
+        stand.ended("f" * 16, "a", Status.REVOKED, final=True)
+        stand.fleet(a=0, b=0)
+        stand.report("b", 0.5, 50)
+        stand.ask()
+        assert (stand.sent_to() == "a") == left, sent_to
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -4,6 +4,7 @@
 
 import csv
 import gzip
+from dataclasses import replace
 from pathlib import Path
 
 import numpy as np
@@ -12,11 +13,14 @@
 
 from stoatgw.cli.main import main, stoatgw
 from stoatgw.emulator.checker import Rule
-from stoatgw.emulator.events import read_line
+from stoatgw.emulator.events import Event, What, read_line
+from stoatgw.emulator.population import draw_population
 from stoatgw.emulator.scenario import load
+from stoatgw.emulator.streams import Streams
 from stoatgw.lab import play
 from stoatgw.lab.compare import compare, interval
 from stoatgw.lab.experiment import Experiment, LabError, find_scenario, read_results
+from stoatgw.lab.scorecard import Scorecard, overshoot, recovery_s, spread
 from stoatgw.lab.tables import metrics
 
 SHORT = ("length_s=12", "faults.0.at_s=3")
@@ -179,3 +183,65 @@
     assert result.counts["up"] > 30 and result.counts["moved"] > 5 and result.counts["sent"] > 5
     assert sum(event.what == "held" and event.number == 0 for event in events) >= 2
     assert result.service["whole"] > 0.2
+
+
+def test_policies_by_scenario_and_the_two_drivers_are_set_side_by_side(tmp_path: Path) -> None:
+    out, real = tmp_path / "virtual", tmp_path / "loopback"
+    results = plan(out, seeds=3).run(1, lambda _: None)
+    for name in ("runs", "events"):
+        (real / name).mkdir(parents=True)
+    (real / "manifest.json").write_bytes((out / "manifest.json").read_bytes())
+    for result in results:
+        result.service["whole"] -= 0.3  # as though loopback had served less
+        (real / "runs" / f"{result.policy}-{result.seed}.json").write_bytes(play.encode(result))
+    assert CliRunner().invoke(stoatgw, ["lab", "overview", str(out), "--out", str(tmp_path / "o")]).exit_code == 0
+    agree = ["lab", "agree", "--pair", str(out), str(real), "--out", str(tmp_path / "o")]
+    assert CliRunner().invoke(stoatgw, agree).exit_code == 0
+    with (tmp_path / "o" / "agreement.csv").open() as table:
+        within = {row["figure"]: row["within"] for row in csv.DictReader(table)}
+    assert within == {"service": "no", "worst_10s": "yes", "worst_class": "yes"}
+    assert len(list((tmp_path / "o").glob("*.png"))) == 2
+
+
+def card(*rows: tuple[object, ...]) -> Scorecard:
+    """A scorecard of one client that wants 20 s from second 0, worth 2 a second, after a log."""
+    population = draw_population(load(find_scenario("calm")), 400.0, Streams(1))
+    small = replace(
+        population, arrive_us=np.zeros(1, dtype=np.int64), end_us=np.full(1, 20_000_000), profile=np.zeros(1, dtype=int)
+    )
+    loads = {"a": 0.9, "b": 0.5, "c": 0.95}
+    found = Scorecard(small, (2.0,), 20_000_000, lambda server: loads.get(server, 0.0))
+    for row in rows:
+        found.feed(Event(*row))  # type: ignore[arg-type]
+    return found
+
+
+def test_worth_lost_is_booked_on_its_cause() -> None:
+    found = card(
+        (1_000_000, What.TAKEN, "n", "r", "", 0, "0"), (1_500_000, What.ANSWER, "n", "r", "", 0, "busy"),
+        (2_000_000, What.TAKEN, "n", "s", "", 0, "0"), (3_000_000, What.UP, "n", "s", "a", 0, "0"),
+        (8_000_000, What.MOVED, "n", "s", "", 0, "moved"), (9_000_000, What.UP, "n", "t", "b", 0, "0"),
+        (12_000_000, What.MOVED, "n", "t", "", 0, "moved"), (12_500_000, What.UP, "n", "u", "c", 0, "0"),
+        (15_000_000, What.OVER, "n", "u", "", 0, "broken"),
+    )  # fmt: skip
+    figures = found.figures(np.full((1, 20), 2.0), np.full((1, 20), 1.0), {}, [])
+    assert figures["lost_setting_up"] == pytest.approx(1.5 / 20)
+    assert figures["lost_refused"] == pytest.approx(1.5 / 20)
+    assert figures["lost_moved"] == pytest.approx(1.5 / 20)
+    assert figures["lost_broken"] == pytest.approx(5 / 20)
+    assert figures["lost_late"] == pytest.approx(0.5 - 9.5 / 20)
+    assert (figures["moves"], figures["moved_twice"], figures["moved_for_nothing"]) == (2, 1, 1)
+
+
+def test_recovery_ends_once_service_stays_back() -> None:
+    asked, earned = np.full(40, 10.0), np.full(40, 9.5)
+    earned[10:20] = 3.0
+    earned[22:25] = 5.0
+    faults = [(10.0, "drop begins"), (15.0, "drop ends")]
+    assert recovery_s(asked, earned, faults) == pytest.approx(11, abs=1)
+    assert recovery_s(asked, earned, []) == 0.0
+    earned[10:] = 3.0
+    assert recovery_s(asked, earned, faults) == 25.0
+    loads = {"s-0": [0.5] * 20 + [0.9] * 20, "s-1": [0.5] * 40, "mean": [0.5] * 20 + [0.7] * 20}
+    assert overshoot(loads, faults) == pytest.approx(0.2)
+    assert spread(loads) == pytest.approx(0.2)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -368,3 +368,26 @@
         await proxy.settle()
 
     play(serve, test)
+
+
+def test_no_attempt_is_made_for_a_client_that_has_gone() -> None:
+    """Its line and its end are read before the owner's turn, as after a freeze: nothing may run for nobody."""
+
+    async def test(proxy: Proxy) -> None:
+        held = list[Message]()
+        setattr(proxy.owner, "put", held.append)  # noqa: B010
+        _, writer = await proxy.ask()
+        while not held:
+            await asyncio.sleep(0.01)
+        writer.close()
+        while proxy.listener.open:
+            await asyncio.sleep(0.01)
+        delattr(proxy.owner, "put")
+        for message in held:
+            proxy.owner.put(message)
+        while not proxy.counters["fetches"]:
+            await asyncio.sleep(0.01)
+        await proxy.settle()
+        assert proxy.counters["fetches"] == 1 and proxy.asked == []
+
+    play(echo, test)
