--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -439,8 +439,8 @@
         # Those just started are few for each balancer, and a random draw would hardly ever meet them.
         for servers in (self._fleet.filling, self._fleet.near, self._fleet.far):
             found, first = 0, int(self._random.random() * len(servers))
-            drawn = [*servers[first : first + EXAMINED], *servers[: max(0, first + EXAMINED - len(servers))]]
-            rows = [(self._units_on(server, connection), server) for server in drawn[:EXAMINED]]
+            drawn = [*servers[first : first + EXAMINED], *servers[: min(first, EXAMINED)]][:EXAMINED]
+            rows = [(self._units_on(server, connection), server) for server in drawn]
             for units, server in sorted(rows, key=lambda row: row[0]):
                 out = self._fleet.heed_ejection and server.ejected_until_us > self._now_us
                 out = out or server is leaving or server.entry.server in connection.tried
--- a/stoatgw/rebalance/limits.py
+++ b/stoatgw/rebalance/limits.py
@@ -7,6 +7,7 @@
 import msgspec
 
 Part = Annotated[float, msgspec.Meta(gt=0.0, lt=1.0)]
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Positive = Annotated[float, msgspec.Meta(gt=0.0)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1000)]
 Span = Annotated[int, msgspec.Meta(ge=100_000, le=3_600_000_000)]
@@ -19,6 +20,7 @@
     step_us: Span = 1_000_000  # between two plans
     over: Part = 0.62  # load from which a server's messages begin to be late: nothing moves off one under it
     gap: Part = 0.2  # load by which the target must be emptier than the source, after the move
+    warm: Share = 0.7  # part of its full capacity that a server must have by now to be moved to
     rate: Part = 0.03  # part of the proxy's own standing connections that it may move in a second
     per_server: Count = 2  # moves off one server, and to one, in a step
     per_group: Count = 1  # moves of one group in a step
--- a/stoatgw/rebalance/planner.py
+++ b/stoatgw/rebalance/planner.py
@@ -116,7 +116,9 @@
         total = sum(1.0 / max(1e-6, view.unit) for view in good)
         # The load at which all would stand if it were spread evenly over what they can do now.
         self.mean = sum(view.load / max(1e-6, view.unit) for view in good) / total if total else 1.0
-        self.targets = [view for view in good if view.load < limits.over and view.load <= self.mean]
+        self.targets = [
+            view for view in good if view.share >= limits.warm and view.load < limits.over and view.load <= self.mean
+        ]
         self._groups = {view.name: {held.group for held in view.mine} for view in self.targets}
 
     def load(self, view: View) -> float:
