--- a/stoatgw/emulator/scenario.py
+++ b/stoatgw/emulator/scenario.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import difflib
 import hashlib
 import re
 import tomllib
@@ -11,9 +10,9 @@
 
 import msgspec
 
+from stoatgw.config.toml import TomlError, convert, load_toml
 from stoatgw.rebalance.limits import Limits
 
-BYTES_MOST = 1 << 20  # a scenario is a page or two; guards against being handed a dump
 VERSION = 1
 
 
@@ -280,45 +279,25 @@
     Raises ScenarioError with one line that names the file and the field.
     """
     try:
-        size = path.stat().st_size
-        if size > BYTES_MOST:
-            raise ScenarioError(f"{path}: the file holds {size} bytes, over {BYTES_MOST}")
-        data = tomllib.loads(path.read_bytes().decode())
-    except OSError as error:
-        raise ScenarioError(f"{path}: cannot be read: {error.strerror}") from None
-    except UnicodeDecodeError as error:
-        raise ScenarioError(f"{path}: byte {error.start} is not UTF-8") from None
-    except (tomllib.TOMLDecodeError, RecursionError) as error:
-        raise ScenarioError(f"{path}: is no TOML: {str(error)[:200]}") from None
+        data = load_toml(path)
+    except TomlError as fault:
+        raise ScenarioError(str(fault)) from None
     for change in changes:
         _set(data, change)
     return read(data, str(path))
 
 
 def read(data: dict[str, Any], source: str) -> Scenario:
+    names = {name for table in _tables() for name in table.__struct_fields__} | set(Limits.__struct_fields__)
     try:
-        scenario = msgspec.convert(data, Scenario)
-    except msgspec.ValidationError as error:
-        raise ScenarioError(f"{source}: {_explain(str(error))}") from None
+        scenario = convert(data, Scenario, source, names)
+    except TomlError as fault:
+        raise ScenarioError(str(fault)) from None
     for field, why in _cross_checks(scenario):
         raise ScenarioError(f"{source}: {field}: {why}")
     return scenario
 
 
-def _explain(text: str) -> str:
-    """msgspec's message with the field first, and the nearest known name of an unknown one."""
-    message, found, path = text.partition(" - at `$.")
-    field = path.rstrip("`") if found else ""
-    unknown = re.search(r"unknown field `([^`]*)`", message)
-    if unknown is not None:
-        names = {name for table in _tables() for name in table.__struct_fields__}
-        known = sorted(names | set(Limits.__struct_fields__))
-        near = difflib.get_close_matches(unknown.group(1), known, 1)
-        field = f"{field}.{unknown.group(1)}" if field else unknown.group(1)
-        message = "unknown field" + (f"; nearest known name: {near[0]}" if near else "")
-    return f"{field or 'the file'}: {message[:200]}"
-
-
 def _tables() -> list[type[Table]]:
     found: list[type[Table]] = [Table]
     for table in found:
