--- a/stoatgw/lab/charts.py
+++ b/stoatgw/lab/charts.py
@@ -177,3 +177,16 @@
     axes.set(title=f"{min(row.seeds for row in rows)} or more seeds each")
     axes.legend(fontsize=8, loc="lower left")
     return _save(figure, path)
+
+
+def draw_axes(rows: list[dict[str, Any]], path: Path) -> Path:
+    """Wall seconds a simulated second along each size, the others kept."""
+    names = list(dict.fromkeys(row["axis"] for row in rows))
+    figure, pictures = plt.subplots(1, len(names), figsize=(3.6 * len(names), 3.6), sharey=True)
+    for axes, name in zip(np.atleast_1d(pictures), names):
+        mine = [row for row in rows if row["axis"] == name]
+        cost = [float(row["wall_s"]) / float(row["simulated_s"]) for row in mine]
+        axes.plot([float(row["value"]) for row in mine], cost, marker="o", color="#1f5fa8")
+        axes.set(xlabel=name, ylim=(0, None))
+    np.atleast_1d(pictures)[0].set_ylabel("wall s a simulated s")
+    return _save(figure, path)
--- a/stoatgw/lab/speed.py
+++ b/stoatgw/lab/speed.py
@@ -20,6 +20,7 @@
 LONG_S = 10.0
 SERVERS_A_PROXY = 20
 REPEATS = 3
+AXES = {"servers": (25.0, 100.0, 400.0), "proxies": (2.0, 10.0, 50.0), "load": (0.1, 0.2, 0.4)}
 
 
 def scaled(servers: int) -> Scenario:
@@ -39,34 +40,62 @@
 
 
 def measure(servers: tuple[int, ...], out: Path) -> Iterator[str]:
-    """Lines for people; the table goes to OUT/speed.csv and the chart to OUT/speed.png."""
+    """Lines for people; tables go to OUT/speed.csv and OUT/axes.csv, charts to OUT/speed.png and OUT/axes.png."""
+    from stoatgw.lab.charts import draw_axes, draw_speed
+
     if out.exists() and not out.is_dir():
         raise LabError(f"{out}: is no folder")
     out.mkdir(parents=True, exist_ok=True)
     rows: list[dict[str, Value]] = []
     for count in servers:
-        scenario = scaled(count)
-        took, built = [], []
-        for repeat in range(1 if count >= 500 else REPEATS):
-            began = time.perf_counter()
-            world = World(scenario, repeat, EventSink())
-            ready = time.perf_counter()
-            world.run()
-            built.append(ready - began)
-            took.append(time.perf_counter() - ready)
-        wall = float(np.median(took))
-        row: dict[str, Value] = {
-            "servers": count, "proxies": scenario.proxies.count, "standing": world.realm.population.standing,
-            "tries": world.tally["tries"], "simulated_s": scenario.length_s, "wall_s": round(wall, 3),
-            "speed": round(scenario.length_s / wall, 3), "steps": world.kernel.steps,
-            "us_a_step": round(1e6 * wall / world.kernel.steps, 2), "set_up_s": round(float(np.median(built)), 3),
-            "peak_mib": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
-        }  # fmt: skip
-        rows.append(row)
-        yield ", ".join(f"{name} {value}" for name, value in row.items())
+        rows.append(_time(scaled(count), 1 if count >= 500 else REPEATS))
+        yield _text(rows[-1])
     write_csv(out / "speed.csv", rows)
-    from stoatgw.lab.charts import draw_speed
-
     yield str(draw_speed(rows, out / "speed.png"))
+    axes: list[dict[str, Value]] = []
+    for axis, values in AXES.items():
+        for value in values:
+            head: dict[str, Value] = {"axis": axis, "value": value}
+            axes.append(head | _time(_along(axis, value), REPEATS))
+            yield _text(axes[-1])
+    write_csv(out / "axes.csv", axes)
+    yield str(draw_axes(axes, out / "axes.png"))
+
+
+def _along(axis: str, value: float) -> Scenario:
+    """The day of 100 servers, shorter, with one of its sizes changed and the others kept."""
+    base = msgspec.structs.replace(scaled(100), length_s=LONG_S, faults=())
+    if axis == "servers":
+        # As many connections as before, on fewer or more servers.
+        low, high = (edge * 100 / value for edge in base.fleet.per_core)
+        return msgspec.structs.replace(
+            base, fleet=msgspec.structs.replace(base.fleet, servers=int(value), per_core=(low, high))
+        )
+    if axis == "proxies":
+        return msgspec.structs.replace(base, proxies=msgspec.structs.replace(base.proxies, count=int(value)))
+    return msgspec.structs.replace(base, clients=msgspec.structs.replace(base.clients, load=value))
+
+
+def _time(scenario: Scenario, repeats: int) -> dict[str, Value]:
+    """Play a scenario on so many seeds; the median of the wall times."""
+    took, built = [], []
+    for repeat in range(repeats):
+        began = time.perf_counter()
+        world = World(scenario, repeat, EventSink())
+        ready = time.perf_counter()
+        world.run()
+        built.append(ready - began)
+        took.append(time.perf_counter() - ready)
+    wall = float(np.median(took))
+    return {
+        "servers": scenario.fleet.servers, "proxies": scenario.proxies.count,
+        "standing": world.realm.population.standing, "tries": world.tally["tries"],
+        "simulated_s": scenario.length_s, "wall_s": round(wall, 3), "speed": round(scenario.length_s / wall, 3),
+        "steps": world.kernel.steps, "us_a_step": round(1e6 * wall / world.kernel.steps, 2),
+        "set_up_s": round(float(np.median(built)), 3),
+        "peak_mib": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
+    }  # fmt: skip
 
 
+def _text(row: dict[str, Value]) -> str:
+    return ", ".join(f"{name} {value}" for name, value in row.items())
