--- a/stoatgw/emulator/loopback/servers.py
+++ b/stoatgw/emulator/loopback/servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+from collections import deque
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
         self.muted = False
         self.ended_by_server = ""
         self.stood_us = 0
+        self.answers: deque[bytes] = deque()  # lines on their way back
         self.answer_us = 0  # when the last line is answered that came so far
 
     def over(self, how: str) -> None:
@@ -243,10 +245,13 @@
             return
         # Lines of one connection are answered in their order, however long each would take by itself.
         link.answer_us = max(link.answer_us + 1, now_us + int(machine.message_s() * 1e6))
-        self.world.scheduler.at(link.answer_us, partial(self._answer, link, line + b"\r\n"))
+        link.answers.append(line + b"\r\n")
+        self.world.scheduler.at(link.answer_us, partial(self._answer, link))
 
     @staticmethod
-    def _answer(link: Link, line: bytes) -> None:
+    def _answer(link: Link) -> None:
+        # The oldest, whichever timer fired: the loop's timers count whole milliseconds, and two may change places.
+        line = link.answers.popleft()
         if link.up and not link.muted and not link.ended_by_server:
             link.lines.write(line)
 
