A second address for operators, an inherited listening socket, and drains that can be called back

Need: staff run the proxy by hand, and replace its process without losing clients. Seen to be the cause: service.py bound the listening address itself, and knew no second address.

The second address is a package of its own: a sans-IO reader on httptools, a table of calls, a thin listener with descriptors set aside, and a desk that answers without the owner's queue. Draining is one state (owner/course.py) that PING, readyz and the door read. Processes of one proxy see each other by a locked file each in $TMPDIR: the newer one that takes clients accepts alone, the older one closes its descriptor only, serves whom it has accepted and moves all.

Accepting is a wait for readability and a plain accept: the loop's sock_accept, cancelled in the turn in which it has accepted, loses the connection.

--- a/stoatgw/clients/house.py
+++ b/stoatgw/clients/house.py
@@ -12,6 +12,7 @@
 from stoatgw.config.deployment import Deployment
 from stoatgw.decisions.interface import NoteKind
 from stoatgw.owner.clock import Clock
+from stoatgw.owner.course import Course
 from stoatgw.owner.messages import Req
 from stoatgw.owner.owner import Owner
 from stoatgw.telemetry.counters import Counters
@@ -64,7 +65,7 @@
     room: Room
     ids: RecentIds = field(default_factory=RecentIds)
     standing: dict[str, Standing] = field(default_factory=dict)
-    draining: bool = False
+    course: Course = field(default_factory=Course)
     classes: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -72,6 +73,11 @@
             profile.name: index for index, profile in enumerate(self.deployment.settings.profiles)
         }
 
+    @property
+    def ready(self) -> bool:
+        """Whether clients are let in: not while they are sent away, and not before the first list."""
+        return self.backends.known and self.course.lets_in
+
     @property
     def load_means(self) -> NoteKind:
         """What a backend's LOAD line tells, by the settings alone: see docs/status.md."""
--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -15,7 +15,6 @@
 from stoatgw.sockets import calls
 
 BACKLOG = 4096
-PAUSE_S = 0.02  # after a failed accept, such as one for want of descriptors
 WATCH_S, UNANSWERED_US = 0.25, 5_000_000
 DELAY_PART = 3  # message delays are told from a third of the shortest aim on
 
@@ -28,46 +27,60 @@
         aims = [profile.message_aim_us for profile in house.deployment.settings.profiles]
         self._tell_ms = min(aims) / 1000 / DELAY_PART
         self._told: set[str] = set()
+        self._wanted = asyncio.Event()
+        self._wanted.set()
+        self._accepting: asyncio.Task[socket.socket] | None = None
 
     @property
     def open(self) -> int:
         return len(self._sessions)
 
     def bind(self, address: Address) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind((address.host, address.port))
-        sock.listen(BACKLOG)
+        """Raises OSError."""
+        self._sock = calls.listening((address.host, address.port), BACKLOG)
+
+    def adopt(self, sock: socket.socket) -> None:
+        """Accept from a listening socket that others hold as well: it is never shut down here, only closed."""
         self._sock = sock
 
+    def accept(self, wanted: bool) -> None:
+        """Whether to take connections: those not taken wait in the backlog for whoever else accepts there."""
+        if wanted:
+            self._wanted.set()
+        else:
+            self._wanted.clear()
+            if self._accepting is not None:
+                self._accepting.cancel()
+
     async def run(self) -> None:
         loop, house = asyncio.get_running_loop(), self._house
         if self._sock is None:
             return
         while True:
-            try:
-                sock, _ = await loop.sock_accept(self._sock)
-            except OSError as fault:
+            await self._wanted.wait()
+            self._accepting = loop.create_task(calls.accept(self._sock))
+            await asyncio.wait([self._accepting])
+            if self._accepting.cancelled():
+                continue
+            fault = self._accepting.exception()
+            if fault is not None:
                 # EMFILE, ECONNABORTED and their like: what is open serves on.
                 house.counters.add("accept_failures")
                 house.log.event("accept_failed", error=str(fault))
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(calls.ACCEPT_PAUSE_S)
                 continue
-            house.counters.add("connections")
-            try:
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            except OSError:
-                calls.close(sock)
-                continue
-            if not house.room.admits():
-                house.counters.add("connections_over_limit")
-                calls.turn_away(sock, busy(0))
-                continue
-            task = loop.create_task(ClientSession(sock, house).run())
-            self._sessions.add(task)
-            task.add_done_callback(self._sessions.discard)
+            self._take(self._accepting.result())
+
+    def _take(self, sock: socket.socket) -> None:
+        house = self._house
+        house.counters.add("connections")
+        if not house.room.admits():
+            house.counters.add("connections_over_limit")
+            calls.turn_away(sock, busy(0))
+            return
+        task = asyncio.get_running_loop().create_task(ClientSession(sock, house).run())
+        self._sessions.add(task)
+        task.add_done_callback(self._sessions.discard)
 
     async def watch(self) -> None:
         """Tell message delays once a second; give up connections that bring nothing back."""
--- a/stoatgw/clients/opening.py
+++ b/stoatgw/clients/opening.py
@@ -77,10 +77,8 @@
         lines = self._splitter.feed(data)
         while lines and lines[0] == PING:
             self._house.counters.add("pings")
-            # PONG lets clients in: not while draining, and not before the first list.
-            ready = self._house.backends.known and not self._house.draining
             self._answering = True
-            await asyncio.get_running_loop().sock_sendall(self._sock, PONG + b"\r\n" if ready else busy(0))
+            await asyncio.get_running_loop().sock_sendall(self._sock, PONG + b"\r\n" if self._house.ready else busy(0))
             self._answering = False
             lines = lines[1:]
         if lines:
--- a/stoatgw/clients/room.py
+++ b/stoatgw/clients/room.py
@@ -28,9 +28,14 @@
         self._most = max(4, sockets - DESCRIPTORS_KEPT)
         self._waiting: dict[Waiting, None] = {}  # oldest first
         self._taken = 0
+        self.elsewhere = 0  # descriptors that another process of this proxy holds
+
+    @property
+    def held(self) -> int:
+        return len(self._waiting) + REQUEST_HOLDS * self._taken
 
     def _over(self, more: int) -> bool:
-        return len(self._waiting) + REQUEST_HOLDS * self._taken + more > self._most
+        return self.held + self.elsewhere + more > self._most
 
     def admits(self) -> bool:
         """Whether one more may wait to ask."""
--- a/stoatgw/config/deployment.py
+++ b/stoatgw/config/deployment.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import os
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -44,6 +45,7 @@
     idle_us: int
     tells_delay: bool
     tells_load: bool
+    management: Address | None = None  # the operators' own address; none, and there is no such listener
 
 
 def load(path: str) -> Deployment:
@@ -53,7 +55,10 @@
         raise ConfigError(f"LB_CONFIG: cannot read {path}: {error.strerror}") from None
     except orjson.JSONDecodeError as error:
         raise ConfigError(f"LB_CONFIG: {path} is no JSON: {error}") from None
-    return read(data)
+    deployment = read(data)
+    # A second process beside the first may be told of the same file, and of its own address in this.
+    own = os.environ.get("LB_MANAGEMENT")
+    return replace(deployment, management=read_address(own, "LB_MANAGEMENT")) if own else deployment
 
 
 def read(data: Any) -> Deployment:
@@ -82,6 +87,7 @@
         idle_us=_whole(pairs.get("bounds.conn_idle_us", "5000000"), "bounds.conn_idle_us"),
         tells_delay=pairs.get("domain.tells_delay") == "true",
         tells_load=pairs.get("domain.tells_load") == "true",
+        management=read_address(_get(data, "management", str), "management") if data.get("management") else None,
     )
 
 
--- a/stoatgw/director/director.py
+++ b/stoatgw/director/director.py
@@ -44,6 +44,7 @@
         self._log, self._counters, self._backoff = log, counters, backoff
         self._entries: dict[str, ServerEntry] = {}
         self._version: int | None = None
+        self.told_us: int | None = None  # when discovery first told anything
         self._stay = asyncio.timeout(None)  # ends early when the address changes
 
     def known(self, data: Any) -> None:
@@ -154,6 +155,8 @@
             if entry.lifecycle is Lifecycle.OFF:
                 del self._entries[entry.server]
         self._version = page.version
+        if kind is not ListKind.DISK and self.told_us is None:
+            self.told_us = self._clock.now_us()
         for backend in self._backends.listed(page.rows, whole, self._clock.now_us()):
             self._left(backend)
         if entries or whole:
--- /dev/null
+++ b/stoatgw/management/listener.py
@@ -0,0 +1,95 @@
+"""The second address on its sockets. Its callers have descriptors of their own: see `CALLERS_MOST`."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from typing import Protocol
+
+from stoatgw.config.deployment import Address
+from stoatgw.management.calls import Order, read_call
+from stoatgw.management.http import Answer, CallReader
+from stoatgw.sockets import calls
+from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import EventLog
+
+CALLERS_MOST = 32  # held at once; kept free of clients, so that neither can shut the other out
+PATIENCE_S = 2.0  # from accepting to a whole call
+LINGER_S = 0.25
+BUFFER = 4096
+
+
+class Desk(Protocol):
+    """Carries calls out; no waiting on anything that a load could hold up."""
+
+    def take(self, order: Order) -> Answer: ...
+
+
+class ManagementListener:
+    def __init__(self, desk: Desk, log: EventLog, counters: Counters) -> None:
+        self._desk, self._log, self._counters = desk, log, counters
+        self._sock: socket.socket | None = None
+        self._callers: dict[asyncio.Task[None], socket.socket] = {}  # oldest first
+
+    def bind(self, address: Address) -> None:
+        """Raises OSError."""
+        self._sock = calls.listening((address.host, address.port), CALLERS_MOST)
+
+    async def run(self) -> None:
+        if self._sock is None:
+            return
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock = await calls.accept(self._sock)
+            except OSError as fault:
+                self._log.event("management_accept_failed", error=str(fault))
+                await asyncio.sleep(calls.ACCEPT_PAUSE_S)
+                continue
+            if len(self._callers) >= CALLERS_MOST:
+                # Guards against callers that send nothing, or half a call, and stay: the oldest makes room.
+                oldest, held = next(iter(self._callers.items()))
+                del self._callers[oldest]
+                with contextlib.suppress(OSError):
+                    held.shutdown(socket.SHUT_RDWR)  # wakes its task, which closes it
+            task = loop.create_task(self._serve(sock))
+            self._callers[task] = sock
+            task.add_done_callback(lambda done: self._callers.pop(done, None))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        try:
+            answer = await self._answer(sock)
+            if answer is not None:
+                await calls.close_after(sock, answer.wire(), LINGER_S)
+        except OSError:
+            pass  # the caller has gone
+        except Exception as fault:  # a fault of one call must not end the address
+            self._log.event("management_fault", error=repr(fault))
+        finally:
+            calls.close(sock)
+
+    async def _answer(self, sock: socket.socket) -> Answer | None:
+        loop, reader = asyncio.get_running_loop(), CallReader()
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                while True:
+                    data = await loop.sock_recv(sock, BUFFER)
+                    if not data:
+                        return None
+                    call = reader.feed(data)
+                    if call is not None:
+                        break
+        except TimeoutError:
+            self._counters.add("management_callers_slow")
+            return Answer(408, "no: no whole call in time\n")
+        order = call if isinstance(call, Answer) else read_call(call)
+        if isinstance(order, Answer):
+            return order
+        try:
+            answer = self._desk.take(order)
+        except Exception as fault:  # never a yes before it binds
+            self._log.event("management_fault", deed=order.deed.value, error=repr(fault))
+            return Answer(500, "no: a fault, see the log\n")
+        self._counters.add("management_calls")
+        return answer
--- /dev/null
+++ b/stoatgw/operations.py
@@ -0,0 +1,56 @@
+"""What the operators' calls do: see `management` for how they come in."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from stoatgw.clients.house import House
+from stoatgw.management.calls import Deed, Order
+from stoatgw.management.http import Answer
+from stoatgw.owner.messages import Activate, Drain
+from stoatgw.owner.owner import Owner
+from stoatgw.telemetry.log import EventLog
+
+# Newcomers stop 0.2 s after a PING is told no, which it is ten times a second; at 4 s nobody may be here.
+DRAIN_NEWCOMERS_US, DRAIN_OVER_US, DRAIN_SERVE_US = 400_000, 2_000_000, 2_600_000
+
+
+class Operations:
+    def __init__(self, house: House, owner: Owner, log: EventLog, accepts: Callable[[], bool]) -> None:
+        self._house, self._owner, self._log, self._accepts = house, owner, log, accepts
+
+    def take(self, order: Order) -> Answer:
+        match order.deed:
+            case Deed.READY:
+                return self._ready()
+            case Deed.DRAIN:
+                return self._drain()
+            case Deed.ACTIVATE:
+                return self._activate()
+        return Answer(404, "no: there is no such call\n")
+
+    def _ready(self) -> Answer:
+        stage = self._house.course.stage.value
+        if not self._house.course.serving:
+            return Answer(503, f"no: {stage}\n")
+        if not self._house.backends.known:
+            return Answer(503, "no: no list of session servers yet\n")
+        if not self._accepts():
+            return Answer(503, "no: another process takes the clients as yet\n")
+        return Answer(200, "yes: takes clients\n")
+
+    def _drain(self) -> Answer:
+        course = self._house.course
+        if course.drain():
+            self._log.event("drain", open=len(self._house.standing))
+            self._owner.put(Drain(DRAIN_NEWCOMERS_US, DRAIN_OVER_US, DRAIN_SERVE_US))
+        return Answer(200, f"yes: {course.stage.value}\n")
+
+    def _activate(self) -> Answer:
+        was = self._house.course.serving
+        if not self._house.course.activate():
+            return Answer(409, "no: this process is stopping\n")
+        if not was:
+            self._log.event("activate")
+            self._owner.put(Activate())
+        return Answer(200, "yes: serving\n")
--- a/stoatgw/owner/messages.py
+++ b/stoatgw/owner/messages.py
@@ -159,6 +159,17 @@
 
     newcomers_us: int = field(default=400_000)  # they come for so long
     over_us: int = field(default=1_200_000)
+    serve_us: int = field(default=0)  # who comes or waits is served for so long, and moved then; 0: refused
+
+
+@dataclass(frozen=True, slots=True)
+class Unserved:
+    """The time in a drain is over in which those who wait were still served: they are answered now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Activate:
+    """The drain is called back: nobody else is moved, newcomers are taken."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,5 +178,6 @@
 
 
 Message = (
-    Arrived | Stood | FetchUp | FetchEnded | ClientLeft | Heard | Listed | Probed | Due | Overdue | Drain | Rebalance
+    Arrived | Stood | FetchUp | FetchEnded | ClientLeft | Heard | Listed | Probed | Due | Overdue | Drain | Unserved
+    | Activate | Rebalance
 )
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -40,6 +40,7 @@
 )
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import (
+    Activate,
     Arrived,
     ClientLeft,
     Drain,
@@ -57,10 +58,13 @@
     Rebalance,
     Req,
     Stood,
+    Unserved,
 )
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
+GOLDEN = 0.6180339887  # steps of this part of a span, over and over, never fall close together
+
 
 class Module(Protocol):
     """Whatever decides: the `Balancer`, or a policy that experiments set beside it."""
@@ -89,6 +93,8 @@
         self._balancer = make(settings, seed)
         self._lists: dict[str, ListUpdate] = {}
         self._draining, self._newcomers_until_us = False, 0
+        self._serve_until_us, self._over_us, self._late = 0, 0, 0
+        self._moves: list[asyncio.TimerHandle] = []  # of a drain, not due yet
         self._fleet: Fleet | None = None
         self._now_us = 0
 
@@ -132,15 +138,13 @@
                 req.up = req.answered = True
                 req.attempts, req.out, req.server, req.sent_us = 1, 0, server, self._now_us
                 self._tell(Existing(req.asked, server))
-                if self._draining:
-                    req.door.move()
+                self._move_late(req)
             case FetchUp(req, attempt):
                 if req.out == attempt:
                     req.up = True
                     req.settle()
                     self._tell(Begun(req.asked.request, attempt, req.server, self._now_us - req.sent_us))
-                    if self._draining:
-                        req.door.move()
+                    self._move_late(req)
             case FetchEnded(req, attempt, end):
                 self._ended(req, attempt, end)
             case ClientLeft(req):
@@ -165,8 +169,12 @@
                     self._counters.add("answers_overdue")
                     self._tell(ClientGone(req.asked.request))
                     self._fail(req)
-            case Drain(newcomers_us, over_us):
-                self._drain(newcomers_us, over_us)
+            case Drain():
+                self._drain(message)
+            case Unserved():
+                self._answer_waiting()
+            case Activate():
+                self._activate()
             case Rebalance():
                 self._rebalance()
 
@@ -185,7 +193,7 @@
 
     def _arrived(self, req: Req) -> None:
         request = req.asked.request
-        if self._draining:
+        if self._draining and self._now_us >= self._serve_until_us:
             self._refuse(req, self._elsewhere_us())
             return
         self._reqs[request] = req
@@ -286,21 +294,51 @@
         left_us = min(self._newcomers_until_us - self._now_us, self._settings.max_retry_after_us)
         return max(0, left_us) if self._settings.can_advise_retry_after else 0
 
-    def _drain(self, newcomers_us: int, over_us: int) -> None:
-        """Asked to stop: those who wait are answered now, those who stand are moved one by one, but not
-        before newcomers stop coming here: a client moved earlier would come back and be refused."""
-        self._draining = True
-        self._newcomers_until_us = self._now_us + newcomers_us
+    def _drain(self, drain: Drain) -> None:
+        """Asked to send all away: those who wait are answered now, or served where there is time; those who
+        stand are moved one by one, but not before newcomers stop coming here: a client moved earlier would
+        come back and be refused."""
+        self._cancel_moves()
+        self._draining, self._late, self._over_us = True, 0, drain.over_us
+        self._newcomers_until_us = self._now_us + drain.newcomers_us
+        self._serve_until_us = self._now_us + drain.serve_us if drain.serve_us else 0
         standing = [req for req in self._reqs.values() if req.up]
+        loop = asyncio.get_running_loop()
+        if drain.serve_us:
+            self._moves.append(loop.call_later(drain.serve_us / 1e6, self.put, Unserved()))
+        else:
+            self._answer_waiting()
+        for place, req in enumerate(standing):
+            after_us = drain.newcomers_us + drain.over_us * place / len(standing)
+            self._moves.append(loop.call_later(after_us / 1e6, req.door.move))
+
+    def _answer_waiting(self) -> None:
         for req in [req for req in self._reqs.values() if not req.answered]:
             profile = self._settings.profiles[req.asked.profile]
             if req.attempts == 0 or profile.idempotency is Idempotency.RETRYABLE:
                 self._refuse(req, self._elsewhere_us())
             else:
                 self._fail(req)
-        loop = asyncio.get_running_loop()
-        for place, req in enumerate(standing):
-            loop.call_later((newcomers_us + over_us * place / len(standing)) / 1e6, req.door.move)
+
+    def _move_late(self, req: Req) -> None:
+        """One that came up in a drain leaves among the others, by even steps that never fall together."""
+        if not self._draining:
+            return
+        self._late += 1
+        left_us = self._newcomers_until_us + self._over_us * (self._late * GOLDEN % 1.0) - self._now_us
+        if self._serve_until_us and left_us > 0:
+            self._moves.append(asyncio.get_running_loop().call_later(left_us / 1e6, req.door.move))
+        else:
+            req.door.move()
+
+    def _activate(self) -> None:
+        self._cancel_moves()
+        self._draining = False
+
+    def _cancel_moves(self) -> None:
+        for handle in self._moves:
+            handle.cancel()
+        self._moves.clear()
 
     def _recover(self, error: Exception) -> None:
         """A fault of the decisions: answer whoever waits without a fetch, begin again with what stands."""
--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -19,7 +19,7 @@
 from stoatgw.clients.house import House
 from stoatgw.clients.listener import Listener
 from stoatgw.clients.room import Room
-from stoatgw.config.deployment import ConfigError, Deployment, load
+from stoatgw.config.deployment import Address, ConfigError, Deployment, load
 from stoatgw.decisions.interface import Settings
 from stoatgw.director.backoff import Backoff
 from stoatgw.director.director import Director
@@ -33,6 +33,9 @@
 if TYPE_CHECKING:
     from stoatgw.config.operators import Operators
 
+CALLERS_KEPT = 36  # descriptors of the second address, where there is one: its callers and its listener
+# A handover: the kill comes 0.7 s after the longest deadline, counted as 3 s at most.
+LONGEST_US, HANDOVER_S, HANDOVER_FIRST_US, HANDOVER_OVER_US = 3_000_000, 0.4, 50_000, 1_600_000
 DRAIN_LEAST_S, DRAIN_MOST_S = 1.0, 2.5  # newcomers come for 0.4 s more; killed after 2.7 s at the soonest
 
 
@@ -117,7 +120,7 @@
         counters,
         Backoff(settings.balancers, random.Random(deployment.seed)),
     )
-    room = Room(deployment.sockets)
+    room = Room(deployment.sockets - (CALLERS_KEPT if deployment.management else 0))
     house = House(deployment, owner, backends, clock, columns.row, counters, log, room)
     listener = Listener(house)
     loop.add_signal_handler(signal.SIGHUP, Reload(path, deployment, director, log, counters))
@@ -130,28 +133,66 @@
     )
     director.known(deployment.known)
     owner.start(Backstage(backends, prober, director))
-    try:
-        listener.bind(deployment.listen)
-    except OSError as fault:
-        raise ConfigError(f"listen: cannot listen there: {fault.strerror}") from None
-    tasks = [loop.create_task(run()) for run in (owner.run, director.run, listener.run, listener.watch)]
+    bind(listener, deployment.listen)
+    loops = [owner.run, director.run, listener.run, listener.watch]
+    beside = None
+    if "LB_LISTEN_FD" in os.environ:
+        from stoatgw.upgrade.beside import Beside
+
+        beside = Beside(os.environ.get("TMPDIR"), house, listener, director, log)
+        beside.begin()
+        loops.append(beside.run)
+    if deployment.management is not None:
+        from stoatgw.management.listener import ManagementListener
+        from stoatgw.operations import Operations
+
+        desk = Operations(house, owner, log, lambda: beside is None or beside.accepts)
+        callers = ManagementListener(desk, log, counters)
+        try:
+            callers.bind(deployment.management)
+        except OSError as fault:
+            raise ConfigError(f"management: cannot listen there: {fault.strerror}") from None
+        loops.append(callers.run)
+    tasks = [loop.create_task(run()) for run in loops]
     log.event("ready", listen=str(deployment.listen))
     stop = loop.create_task(stopped.wait())
     await asyncio.wait([stop, *tasks], return_when=asyncio.FIRST_COMPLETED)
     for task in tasks:
         if task.done():  # none of them ends by itself
             log.event("task_ended", error=repr(task.exception()))
-    log.event("draining", open=listener.open)
-    house.draining = True
-    owner.put(Drain())
+    handed = beside is not None and beside.taken_over()
+    log.event("draining", open=listener.open, handed_over=handed)
+    house.course.stop(handed_over=handed)
+    least_s, most_s, drain = DRAIN_LEAST_S, DRAIN_MOST_S, Drain()
+    if handed:
+        # Nobody comes here any more: the other process answers them. Those that came are served, then moved.
+        listener.accept(False)
+        longest_us = min(LONGEST_US, max(profile.deadline_us for profile in settings.profiles))
+        least_s, most_s = 0.0, longest_us / 1e6 + HANDOVER_S
+        drain = Drain(HANDOVER_FIRST_US, HANDOVER_OVER_US, longest_us)
+    owner.put(drain)
     began = clock.now_us()
-    while (passed := (clock.now_us() - began) / 1e6) < DRAIN_MOST_S:
-        if passed >= DRAIN_LEAST_S and not listener.open:
+    while (passed := (clock.now_us() - began) / 1e6) < most_s:
+        if passed >= least_s and not listener.open:
             break
         await asyncio.sleep(0.02)
     log.event("stopped", open=listener.open, reqs=owner.open, **counters.all())
 
 
+def bind(listener: Listener, listen: Address) -> None:
+    """Listen, or accept where the platform listens for us. Raises ConfigError."""
+    number = os.environ.get("LB_LISTEN_FD")
+    if number is not None:
+        from stoatgw.upgrade.inherited import adopt
+
+        listener.adopt(adopt(number, listen))
+        return
+    try:
+        listener.bind(listen)
+    except OSError as fault:
+        raise ConfigError(f"listen: cannot listen there: {fault.strerror}") from None
+
+
 def main() -> int:
     # Guards against a reload during the start, which would end the program: it waits for its handler.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
--- a/stoatgw/sockets/calls.py
+++ b/stoatgw/sockets/calls.py
@@ -9,6 +9,7 @@
 
 SCRAP_MOST = 1024 * 1024  # bytes read and thrown away at a connection's end
 _SCRAP = bytearray(65536)  # shared by all: nobody looks at what is in it
+ACCEPT_PAUSE_S = 0.02  # after a failed accept, such as one for want of descriptors
 _RESET = struct.pack("ii", 1, 0)
 
 
@@ -19,6 +20,45 @@
     return sock
 
 
+def listening(address: tuple[str, int], backlog: int) -> socket.socket:
+    """A listening socket of our own. Raises OSError."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+async def readable(sock: socket.socket) -> None:
+    """Wait until there is something to read or to accept; nothing is taken from the socket.
+
+    The loop's own sock_accept would lose what it had accepted if it were cancelled in the same turn.
+    """
+    loop, woken = asyncio.get_running_loop(), asyncio.Event()
+    loop.add_reader(sock.fileno(), woken.set)
+    try:
+        await woken.wait()
+    finally:
+        loop.remove_reader(sock.fileno())
+
+
+async def accept(sock: socket.socket) -> socket.socket:
+    """The next connection, ready for use; one that another process took first is waited for anew. Raises OSError."""
+    while True:
+        await readable(sock)
+        with contextlib.suppress(BlockingIOError, InterruptedError):
+            peer, _ = sock.accept()
+            peer.setblocking(False)
+            with contextlib.suppress(OSError):  # it has gone already, which its first read will tell
+                peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            return peer
+
+
 def close(sock: socket.socket, *, reset: bool = False) -> None:
     """Close at once, with FIN or, if asked, with RST."""
     with contextlib.suppress(OSError):
--- /dev/null
+++ b/stoatgw/upgrade/beside.py
@@ -0,0 +1,102 @@
+"""Another process of this proxy beside this one: who accepts, and what the two hold together."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+
+from stoatgw.clients.house import House
+from stoatgw.clients.listener import Listener
+from stoatgw.director.director import Director
+from stoatgw.telemetry.log import EventLog
+from stoatgw.upgrade.peers import Peer, Peers
+from stoatgw.upgrade.plan import may_begin, newer
+
+LOOK_S = 0.1
+BASE = 24  # descriptors of a process beside those of its clients
+
+
+class Beside:
+    def __init__(
+        self, folder: str | None, house: House, listener: Listener, director: Director, log: EventLog
+    ) -> None:
+        self._house, self._listener, self._director, self._log = house, listener, director, log
+        self._peers = Peers(Path(folder)) if folder else None
+        self._own = Peer(False, house.clock.now_us(), BASE)
+        self._others: list[Peer] = []
+        self.accepts = False
+
+    def begin(self) -> None:
+        """Be seen, and take clients unless another process still does."""
+        if self._peers is None:
+            self._log.event("peers_unseen", error="TMPDIR is not set")
+        else:
+            try:
+                self._peers.join(self._own)
+            except OSError as fault:
+                self._log.event("peers_unseen", error=str(fault))
+                self._peers = None
+        self._look()
+        if any(peer.ready for peer in self._others):
+            self._log.event("beside", others=len(self._others))
+            self._listener.accept(False)
+        else:
+            self._take_clients()
+
+    def _take_clients(self) -> None:
+        """From now on this process is the one that accepts."""
+        self._own = replace(self._own, ready=True, since_us=self._house.clock.now_us())
+        self._tell()
+        self.accepts = True
+        self._listener.accept(True)
+
+    def taken_over(self) -> bool:
+        """Whether a process that began later takes the clients."""
+        self._look()
+        return newer(self._own, self._others)
+
+    def _tell(self) -> None:
+        if self._peers is not None:
+            try:
+                self._peers.tell(self._own)
+            except OSError as fault:
+                self._log.event("peers_untold", error=str(fault))
+
+    def _look(self) -> None:
+        if self._peers is None:
+            return
+        try:
+            self._others = self._peers.others()
+        except OSError as fault:
+            self._log.event("peers_unseen", error=str(fault))
+            self._others = []
+        self._house.room.elsewhere = sum(peer.held for peer in self._others)
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self._look()
+            held = BASE + self._house.room.held
+            if held != self._own.held:
+                self._own = replace(self._own, held=held)
+                self._tell()
+            if not self._own.ready:
+                self._begin_later()
+            else:
+                self._yield_or_accept()
+
+    def _begin_later(self) -> None:
+        now_us, known = self._house.clock.now_us(), self._house.backends.known
+        alone = not any(peer.ready for peer in self._others)  # whoever served has gone: nobody does now
+        if (alone and known) or may_begin(self._own.since_us, self._director.told_us, known, now_us):
+            self._log.event("takes_over", others=len(self._others))
+            self._take_clients()
+
+    def _yield_or_accept(self) -> None:
+        """Accept unless one that began later does; if that one dies, again."""
+        accepts = self._house.course.serving and not newer(self._own, self._others)
+        if accepts != self.accepts and self._house.course.serving:
+            self.accepts = accepts
+            self._log.event("accepts" if accepts else "yields")
+            self._listener.accept(accepts)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -239,7 +239,7 @@
         proxy.backends._backends["s"] = kept
         writer.write(b"PING\r\n")
         assert await reader.readline() == b"PONG\r\n"
-        proxy.house.draining = True
+        proxy.house.course.drain()
         writer.write(b"PING\r\n")
         assert await reader.readline() == b"BUSY\r\n"
         writer.close()
