The figures at the second address, each counted where it happens

Design. telemetry/figures.py holds the counts: an answer is counted once, by the session, as it is given; a dispatch when an attempt's last byte is written; the call renders them at once, without a turn of the owner's inbox. What is avoided is read from the choice's own test: Balancer._avoided is now one place that _choose and the figure share. Rejected: deriving them from the counters of the log (they count turns and stages, not answers, and know no class), and a second account of ejections outside the module.

Tests: a ledger of what clients and servers saw over random histories with faults, leavers and a drain.

--- a/stoatgw/backends/fetch.py
+++ b/stoatgw/backends/fetch.py
@@ -33,9 +33,11 @@
 
 
 class Fetch:
-    def __init__(self, backend: Backend, clock: Clock, dial_us: int, grace_us: int, row: Row) -> None:
+    def __init__(
+        self, backend: Backend, clock: Clock, dial_us: int, grace_us: int, row: Row, sent: Callable[[], None]
+    ) -> None:
         self._backend, self._clock, self._row = backend, clock, row
-        self._dial_us, self._grace_us = dial_us, grace_us
+        self._dial_us, self._grace_us, self._sent = dial_us, grace_us, sent
         self._sock = calls.make()
         self._splitter = Splitter()
         self._last = Word.OTHER
@@ -61,6 +63,7 @@
                 self.stage = Stage.SENDING
                 await loop.sock_sendall(self._sock, line((cut_at_us - now_us) // 1000))
                 self.stage = Stage.SENT
+                self._sent()
                 return await self._first(loop)
         except TimeoutError:
             status = Status.EXPIRED if self.stage is Stage.SENT else Status.DIAL_FAILED
--- a/stoatgw/clients/house.py
+++ b/stoatgw/clients/house.py
@@ -16,6 +16,7 @@
 from stoatgw.owner.messages import Req
 from stoatgw.owner.owner import Owner
 from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.figures import Figures
 from stoatgw.telemetry.log import EventLog
 
 IDS_KEPT = 16_384
@@ -67,11 +68,13 @@
     standing: dict[str, Standing] = field(default_factory=dict)
     course: Course = field(default_factory=Course)
     classes: dict[str, int] = field(default_factory=dict)
+    figures: Figures = field(init=False)
 
     def __post_init__(self) -> None:
         self.classes = {
             profile.name: index for index, profile in enumerate(self.deployment.settings.profiles)
         }
+        self.figures = Figures(self.classes)
 
     @property
     def ready(self) -> bool:
--- a/stoatgw/clients/opening.py
+++ b/stoatgw/clients/opening.py
@@ -91,11 +91,11 @@
             return opened
         if len(lines) > 1 or self._splitter.rest or self._splitter.overlong:
             # A client waits for UP after its line: what comes with it was meant for no session server.
-            return Malformed("more came before UP")
+            return Malformed("more came before UP", opened.profile)
         if opened.profile not in self._house.classes:
             return Malformed("class is unknown")
         if opened.at is None and opened.wait_ms > WAIT_MOST_MS:  # one that stood before waits for good
-            return Malformed("field d is beyond belief")
+            return Malformed("field d is beyond belief", opened.profile)
         if not self._house.ids.fresh(opened.request):
-            return Malformed("the id came before")
+            return Malformed("the id came before", opened.profile)
         return opened
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -38,6 +38,7 @@
     Stood,
 )
 from stoatgw.sockets import calls
+from stoatgw.telemetry.figures import Verdict
 
 LINGER_S = 1.0  # a peer has so long to end its side after ours has ended
 ANSWERED_LINGER_S = 0.25  # and after a refusal or an error, which nothing on its way can follow
@@ -85,6 +86,7 @@
         self._between_lines = True  # on the way to the client
         self._move_asked = False
         self._given_up = Status.REVOKED
+        self._class = ""  # of the request taken, until its answer is counted
 
     async def run(self) -> None:
         counters, room, taken = self._house.counters, self._house.room, False
@@ -98,14 +100,17 @@
                 return
             if isinstance(opened, Malformed):
                 counters.add("requests_malformed")
+                self._house.figures.answered(opened.profile, Verdict.ERROR)
                 if self._opening.over:  # room was wanted, and nothing is unread
                     calls.turn_away(self._sock, error(opened.why))
                 else:
                     await calls.close_after(self._sock, error(opened.why), ANSWERED_LINGER_S)
                 return
+            self._class = opened.profile
             taken = room.take()
             if not taken:
                 counters.add("requests_over_limit")
+                self._count(Verdict.OVERLOAD)
                 await calls.close_after(self._sock, busy(0), ANSWERED_LINGER_S)
                 return
             end = await self._serve(opened)
@@ -120,6 +125,7 @@
             calls.close(self._sock)
         except Exception as fault:
             counters.add("session_faults")
+            self._count(Verdict.ERROR)
             self._house.log.event("session_fault", error=repr(fault))
             calls.close(self._sock)
         finally:
@@ -135,6 +141,7 @@
         loop, owner = asyncio.get_running_loop(), self._house.owner
         req = self._req = self._ask(opened)
         reader = loop.create_task(self._read_client())
+        self._house.figures.concurrent += 1
         if opened.at is not None:
             self._house.counters.add("requests_standing")
             self._fetching = loop.create_task(self._restore(req, opened, opened.at))
@@ -144,6 +151,7 @@
         try:
             end = await asyncio.shield(self._end)
         finally:
+            self._house.figures.concurrent -= 1
             # A socket may be closed only once no task waits on it.
             await _stop(reader)
             if not self._end.done() or self._end.result().cause in GONE:
@@ -197,10 +205,18 @@
         if self._fetching is not None:
             self._fetching.cancel()
 
+    def _count(self, verdict: Verdict) -> None:
+        """The request's one answer, counted once; nothing for a client that left before it."""
+        if self._class and not self._end.done():
+            self._house.figures.answered(self._class, verdict)
+            self._class = ""
+
     def refuse(self, retry_after_us: int) -> None:
+        self._count(Verdict.OVERLOAD)
         self._finish(End(Cause.ANSWERED, busy(retry_after_us)))
 
     def fail(self) -> None:
+        self._count(Verdict.ERROR)
         self._finish(End(Cause.ANSWERED, error("failed")))
 
     def move(self) -> None:
@@ -297,7 +313,10 @@
     def _make_fetch(self, backend: Backend, dial_us: int) -> Fetch:
         house = self._house
         grace_us = house.deployment.settings.drain_grace_us
-        return Fetch(backend, house.clock, dial_us, grace_us, house.row)
+        return Fetch(backend, house.clock, dial_us, grace_us, house.row, self._dispatched)
+
+    def _dispatched(self) -> None:
+        self._house.figures.dispatches += 1
 
     async def _stand(self, req: Req, fetch: Fetch, server: str) -> FetchEnd:
         """Up: pass UP on, then all lines both ways until the backend ends."""
@@ -305,6 +324,7 @@
         house.counters.add("answers_up")
         house.standing[req.asked.request] = Standing(req, server, self._messages, self.give_up)
         self._up = True
+        self._count(Verdict.SUCCESS)
         await self.pass_on(fetch.receipt)
         while self._early:  # more may come while these are sent
             data = bytes(self._early)
@@ -353,6 +373,7 @@
                 if not self._up:
                     # Guards against commands sent before the answer being served as though they were a
                     # session: a client waits for UP.
+                    self._count(Verdict.ERROR)
                     self._finish(End(Cause.UNRULY, error("more came before UP")))
                     return
                 if self._fetch is None:
--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -81,6 +81,11 @@
         self._now_us = now_us
         return [self._belief(server) for server in self._fleet.ready if self._fleet.rate is not None]
 
+    def avoided(self, now_us: int) -> list[str]:
+        """The listed servers that leave or that no choice would take first; nothing changes by asking."""
+        self._now_us, each = now_us, self._servers.items()
+        return [name for name, s in each if s.entry.lifecycle is not Lifecycle.ON or any(self._avoided(s))]
+
     def _belief(self, server: Server) -> api.Belief:
         late = self._now_us - server.delayed_us < NEWS_US
         sound = not late and server.ejected_until_us <= self._now_us and server.probe_failures <= 1
@@ -157,7 +162,7 @@
                 loads[kind], counts[kind] = loads.get(kind, 0.0) + load, counts.get(kind, 0.0) + server.probed
             # Changes that the next report will show in any case are kept as one.
             old = server.unshown_units
-            self._drop_shown(server)
+            server.drop_shown(self._now_us - SHOWN_US)
             if not self._by_weight(server):
                 server.change(0, old - server.unshown_units)
         if counts:
@@ -221,7 +226,7 @@
         if self._settings.live_weights and 0.0 < server.entry.weight < 1e9 and count >= 1:
             held, mean = count * server.entry.weight, self._fleet.kind_held.get(server.entry.kind)
             self._fleet.kind_held[server.entry.kind] = 0.9 * mean + 0.1 * held if mean else held
-        self._drop_shown(server)
+        server.drop_shown(self._now_us - SHOWN_US)
         # Over 1 the load is work piled up: kept in r, it had a recovered fleet refuse most clients.
         if count < 1 or (load > 1.0 and server.lookback):
             return
@@ -234,10 +239,6 @@
         server.rate = sum(rate for _, rate in server.lookback) / len(server.lookback)
         self._fleet.rate = self._fleet.rate or rate
 
-    def _drop_shown(self, server: Server) -> None:
-        server.unshown = [change for change in server.unshown if change[0] > self._now_us - SHOWN_US]
-        server.unshown_units = sum(units for _, units in server.unshown)
-
     def _rate(self, server: Server) -> float:
         """r: the mean of the server's samples; without a fresh one, that of its kind, then the fleet's."""
         if server.lookback and server.lookback[-1][0] > self._now_us - LOOKBACK * PERIOD_US:
@@ -293,8 +294,7 @@
 
     def _attach(self, connection: Connection, server: Server, sent_us: int) -> None:
         connection.server, connection.sent_us = server, sent_us
-        server.groups[connection.asked.group] += 1
-        server.mine[connection.asked.request] = connection
+        server.hold(connection)
         self._own.under_way += not connection.standing
         server.under_way += not connection.standing
         # One that comes back from a peer's drain is not one that the peers place as well.
@@ -303,10 +303,7 @@
 
     def _detach(self, connection: Connection, server: Server) -> None:
         connection.server = None
-        server.groups[connection.asked.group] -= 1
-        if not server.groups[connection.asked.group]:
-            del server.groups[connection.asked.group]
-        del server.mine[connection.asked.request]
+        server.release(connection)
         self._own.under_way -= not connection.standing
         server.under_way -= not connection.standing
         # A placement that failed leaves n at once; a standing one leaves it from now on.
@@ -477,6 +474,13 @@
         scopes = {KeyScope.CELL: entry.cell == first.cell, KeyScope.ZONE: entry.zone == first.zone}
         return scopes.get(profile.key_scope, True)
 
+    def _avoided(self, server: Server) -> tuple[bool, bool]:
+        """Whether it is left out now, and whether it is but the last choice."""
+        silent = server.lost_us > max(server.heard_us, self._now_us - DOUBT_US)
+        out = (self._fleet.heed_ejection or silent) and server.ejected_until_us > self._now_us
+        silent |= server.heard_us < self._fleet.doubt_us.get(server.entry.zone, 0)
+        return out, silent or server.probe_failures > 1
+
     def _choose(self, connection: Connection, margin: float, leaving: Server | None = None) -> Server | None:
         """The best of a few ready servers that pass the admission test, own zone first."""
         # All balancers see the same late picture: if each took the lowest, all would take the same.
@@ -489,8 +493,7 @@
             drawn = [*servers[first : first + EXAMINED], *servers[: min(first, EXAMINED)]][:EXAMINED]
             rows = [(self._units_on(server, connection), server) for server in drawn]
             for units, server in sorted(rows, key=lambda row: row[0]):
-                silent = server.lost_us > max(server.heard_us, self._now_us - DOUBT_US)
-                out = (self._fleet.heed_ejection or silent) and server.ejected_until_us > self._now_us
+                out, last = self._avoided(server)
                 out = out or server is leaving or server.entry.server in connection.tried
                 out = out or server.under_way >= SETUPS_EACH
                 if out or not self._in_scope(connection, server):
@@ -498,17 +501,15 @@
                 pressure = self._pressure(server, units) if known else self._held(server)
                 if known and pressure >= margin:
                     continue
-                unheard = known and server.probed is None and not self._by_weight(server)
-                silent |= server.heard_us < self._fleet.doubt_us.get(server.entry.zone, 0)
                 over_spill = known and pressure >= SPILL
-                last_choice = unheard or silent or server.probe_failures > 1
+                last |= known and server.probed is None and not self._by_weight(server)  # not heard from
                 cost = pressure - GROUP_PULL * (units <= connection.units)
-                key = (last_choice, over_spill, not over_spill and servers is self._fleet.far, cost)
+                key = (last, over_spill, not over_spill and servers is self._fleet.far, cost)
                 if key < best_key:
                     if servers is self._fleet.filling and not self._cold_room(server, connection):
                         continue
                     best, best_key = server, key
-                found += not (over_spill or last_choice)
+                found += not (over_spill or last)
                 if found == wanted:
                     break
             if found and servers is self._fleet.near:
--- a/stoatgw/decisions/records.py
+++ b/stoatgw/decisions/records.py
@@ -37,6 +37,21 @@
     lost_us: int = 0  # when it last failed to
     back_us: int = 0  # when it was seen to have come back empty
 
+    def hold(self, connection: Connection) -> None:
+        self.groups[connection.asked.group] += 1
+        self.mine[connection.asked.request] = connection
+
+    def release(self, connection: Connection) -> None:
+        self.groups[connection.asked.group] -= 1
+        if not self.groups[connection.asked.group]:
+            del self.groups[connection.asked.group]
+        del self.mine[connection.asked.request]
+
+    def drop_shown(self, until_us: int) -> None:
+        """A report shows all changes up to then."""
+        self.unshown = [change for change in self.unshown if change[0] > until_us]
+        self.unshown_units = sum(units for _, units in self.unshown)
+
     def change(self, since_us: int, units: float) -> None:
         """Its connections are so many units more since a time, which no report has shown."""
         self.unshown.append((since_us, units))
--- a/stoatgw/director/director.py
+++ b/stoatgw/director/director.py
@@ -47,6 +47,11 @@
         self.told_us: int | None = None  # when discovery first told anything
         self._stay = asyncio.timeout(None)  # ends early when the address changes
 
+    @property
+    def listed(self) -> int:
+        """How many session servers the list holds."""
+        return len(self._entries)
+
     def known(self, data: Any) -> None:
         """Take the last copy, which may be old."""
         if data is not None:
--- a/stoatgw/lines/grammar.py
+++ b/stoatgw/lines/grammar.py
@@ -22,6 +22,7 @@
     """A line that cannot be read, and why."""
 
     why: str
+    profile: str = ""  # its class, where the line was a request but for this
 
 
 @dataclass(slots=True)  # one is made for each request, and a frozen one takes three times as long
--- a/stoatgw/operations.py
+++ b/stoatgw/operations.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from stoatgw.clients.house import House
+from stoatgw.director.director import Director
 from stoatgw.management.calls import Deed, Order
 from stoatgw.management.http import Answer
 from stoatgw.owner.messages import Activate, Drain
@@ -16,13 +17,19 @@
 
 
 class Operations:
-    def __init__(self, house: House, owner: Owner, log: EventLog, accepts: Callable[[], bool]) -> None:
-        self._house, self._owner, self._log, self._accepts = house, owner, log, accepts
+    def __init__(
+        self, house: House, owner: Owner, director: Director, log: EventLog, accepts: Callable[[], bool]
+    ) -> None:
+        self._house, self._owner, self._director = house, owner, director
+        self._log, self._accepts = log, accepts
 
     def take(self, order: Order) -> Answer:
         match order.deed:
             case Deed.READY:
                 return self._ready()
+            case Deed.METRICS:
+                figures = self._house.figures
+                return Answer(200, figures.render(self._director.listed, len(self._owner.avoided())))
             case Deed.DRAIN:
                 return self._drain()
             case Deed.ACTIVATE:
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -104,6 +104,11 @@
         """How many reqs are known: none may be left behind."""
         return len(self._reqs)
 
+    def avoided(self) -> list[str]:
+        """The listed servers that the decisions avoid now, read without a turn of the inbox."""
+        balancer = self._balancer
+        return balancer.avoided(self._clock.now_us()) if isinstance(balancer, Balancer) else []
+
     def put(self, message: Message) -> None:
         self._inbox.append(message)
         self._wake.set()
--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -146,7 +146,7 @@
         from stoatgw.management.listener import ManagementListener
         from stoatgw.operations import Operations
 
-        desk = Operations(house, owner, log, lambda: beside is None or beside.accepts)
+        desk = Operations(house, owner, director, log, lambda: beside is None or beside.accepts)
         callers = ManagementListener(desk, log, counters)
         try:
             callers.bind(deployment.management)
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,97 @@
+"""The figures against a ledger of what the clients saw, over a random history; and their form."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections import Counter
+
+import pytest
+
+from stoatgw.decisions.interface import Lifecycle, ListKind, ListUpdate, Request, ServerEntry, Status
+from stoatgw.owner.messages import Drain
+from stoatgw.telemetry.figures import Figures, Verdict
+from tests.fleet import Stand
+from tests.test_sessions import Proxy, play
+
+KINDS = {b"UP": Verdict.SUCCESS, b"BUSY": Verdict.OVERLOAD}
+
+
+def test_every_class_has_its_figures_from_the_first_reading_on() -> None:
+    figures = Figures(["chat", "view"])
+    figures.answered("view", Verdict.OVERLOAD)
+    figures.answered("no such class", Verdict.ERROR)
+    assert figures.render(3, 1).splitlines() == [
+        "proxy.success.chat:0|c", "proxy.success.view:0|c", "proxy.overload.chat:0|c", "proxy.overload.view:1|c",
+        "proxy.error.chat:0|c", "proxy.error.view:0|c", "proxy.dispatches:0|c", "proxy.concurrent:0|g",
+        "proxy.targets:3|g", "proxy.targets_disabled:1|g",
+    ]  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_the_figures_are_what_the_clients_and_servers_saw(seed: int) -> None:
+    chance = random.Random(seed)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            await asyncio.sleep(chance.choice([0, 0, 0.05]))
+            writer.write(chance.choice([b"UP 1\r\n", b"UP 1\r\n", b"BUSY\r\n", b"ERR x\r\n", b""]))
+            if chance.random() < 0.5:
+                await reader.read()
+        writer.close()
+
+    async def client(proxy: Proxy, seen: Counter[tuple[str, Verdict]], gone: list[str]) -> None:
+        name, act = chance.choice(["chat", "view"]), chance.random()
+        proxy.ids += 1
+        reader, writer = await proxy.client()
+        writer.write(b"OPEN %016x 1 c=%s,d=2000\r\n" % (proxy.ids, name.encode()))
+        if act < 0.1:  # does not wait for UP
+            writer.write(b"early\r\n")
+        if act > 0.9:  # leaves before its answer
+            gone.append(name)
+            writer.close()
+            return
+        with contextlib.suppress(ConnectionResetError):
+            word = (await reader.readline()).strip().split(b" ")[0]
+            seen[name, KINDS.get(word, Verdict.ERROR)] += bool(word)
+        writer.close()
+
+    async def test(proxy: Proxy) -> None:
+        seen: Counter[tuple[str, Verdict]] = Counter()
+        gone: list[str] = []
+        for turn in range(6):
+            await asyncio.gather(*(client(proxy, seen, gone) for _ in range(10)))
+            if turn == 3:
+                proxy.owner._recover(RuntimeError("a fault of the module"))
+            if turn == 4:
+                proxy.owner.put(Drain(0, 0))
+        await proxy.settle()
+        told = {line.split(":")[0]: int(line.split(":")[1].split("|")[0])
+                for line in proxy.house.figures.render(1, 0).splitlines()}  # fmt: skip
+        for name in ("chat", "view"):
+            counts = {verdict: told[f"proxy.{verdict.value}.{name}"] for verdict in Verdict}
+            assert all(counts[verdict] >= seen[name, verdict] for verdict in Verdict)
+            assert sum(counts.values()) - sum(seen[name, verdict] for verdict in Verdict) <= gone.count(name)
+        # A client that leaves at once may take its attempt back before its line is read.
+        assert len(proxy.asked) <= told["proxy.dispatches"] <= len(proxy.asked) + len(gone)
+        assert told["proxy.concurrent"] == 0
+
+    play(serve, test)
+
+
+def test_avoided_are_those_that_leave_that_failed_and_that_do_not_answer() -> None:
+    stand = Stand()
+    stand.fleet(a=0, b=0, c=0, d=0, e=0)
+    for name in "abcde":
+        stand.report(name, 0.1, 5)
+    assert stand.balancer.avoided(stand.now_us) == []
+    stand.event(ListUpdate(ListKind.DIFF, 2, (ServerEntry("a", Lifecycle.FADING),)))
+    stand.now_us += 1
+    stand.event(Request("0" * 16, 0, 2_000_000))
+    tried = stand.sent_to()
+    assert tried is not None
+    stand.ended("0" * 16, tried, Status.DROPPED)
+    assert stand.balancer.avoided(stand.now_us) == sorted(["a", tried])
+    stand.now_us += 10_000_000
+    assert stand.balancer.avoided(stand.now_us) == ["a"]
