Session servers out by hand: bans laid over the list, kept in one file over an upgrade

Need: the rule on drains holds for a server from the proxy's yes until the call back, whatever discovery says, also in the process that takes over; the server is restarted while out (measured: 2.7 s after the call) and returns cold.

A pure overlay shows a banned server as draining to the module and the backends; from the call back it is what the list says, and cold from then where the list has not told of a restart. What cannot be kept is answered 500: a server stays out, none is brought back. Clients that stand there are moved within 2 s: nobody tells that server to send them away, and its restart would cut them off.

--- a/stoatgw/director/director.py
+++ b/stoatgw/director/director.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import orjson
@@ -14,7 +14,7 @@
 from stoatgw.decisions.interface import Lifecycle, ListKind, ListUpdate, ServerEntry
 from stoatgw.director.backoff import Backoff
 from stoatgw.director.http import HttpBusyError, HttpError, HttpLines
-from stoatgw.director.list import ListError, ListReader, Page
+from stoatgw.director.list import ListError, ListReader, Page, Row
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import Listed
 from stoatgw.owner.owner import Owner
@@ -38,11 +38,12 @@
         log: EventLog,
         counters: Counters,
         backoff: Backoff,
+        lay: Callable[[ServerEntry], ServerEntry] = lambda entry: entry,
     ) -> None:
         self._address, self._reader, self._backends = address, reader, backends
         self._owner, self._clock, self._left = owner, clock, left
-        self._log, self._counters, self._backoff = log, counters, backoff
-        self._entries: dict[str, ServerEntry] = {}
+        self._log, self._counters, self._backoff, self._lay = log, counters, backoff, lay
+        self._rows: dict[str, Row] = {}  # as discovery told them
         self._version: int | None = None
         self.told_us: int | None = None  # when discovery first told anything
         self._stay = asyncio.timeout(None)  # ends early when the address changes
@@ -50,7 +51,10 @@
     @property
     def listed(self) -> int:
         """How many session servers the list holds."""
-        return len(self._entries)
+        return len(self._rows)
+
+    def lists(self, name: str) -> bool:
+        return name in self._rows
 
     def known(self, data: Any) -> None:
         """Take the last copy, which may be old."""
@@ -59,9 +63,14 @@
 
     def tell_all(self) -> None:
         """Tell the owner the whole list once more."""
-        self._owner.put(
-            Listed(ListUpdate(ListKind.SNAPSHOT, self._version or 0, tuple(self._entries.values())))
-        )
+        entries = tuple(self._lay(entry) for entry, _, _ in self._rows.values())
+        self._owner.put(Listed(ListUpdate(ListKind.SNAPSHOT, self._version or 0, entries)))
+
+    def tell_again(self, names: Iterable[str]) -> None:
+        """Tell of these as they are seen now: what is laid over the list has changed."""
+        rows = [self._rows[name] for name in names if name in self._rows]
+        if rows:
+            self._pass_on(rows, ListKind.DIFF)
 
     def move_to(self, address: Address) -> None:
         """Watch at another address from now on, after the version held; the list is kept meanwhile."""
@@ -152,18 +161,21 @@
     def _take(self, page: Page, kind: ListKind) -> None:
         self._counters.add("list_objects")
         whole = kind is not ListKind.DIFF
-        entries = tuple(entry for entry, _, _ in page.rows)
         if whole:
-            self._entries = {}
-        for entry in entries:
-            self._entries[entry.server] = entry
-            if entry.lifecycle is Lifecycle.OFF:
-                del self._entries[entry.server]
+            self._rows = {}
+        for row in page.rows:
+            self._rows[row[0].server] = row
+            if row[0].lifecycle is Lifecycle.OFF:
+                del self._rows[row[0].server]
         self._version = page.version
         if kind is not ListKind.DISK and self.told_us is None:
             self.told_us = self._clock.now_us()
-        for backend in self._backends.listed(page.rows, whole, self._clock.now_us()):
+        if page.rows or whole:
+            self._log.event("list", kind=kind.value, version=page.version, entries=len(page.rows))
+            self._pass_on(page.rows, kind)
+
+    def _pass_on(self, rows: Sequence[Row], kind: ListKind) -> None:
+        laid = [(self._lay(entry), host, port) for entry, host, port in rows]
+        for backend in self._backends.listed(laid, kind is not ListKind.DIFF, self._clock.now_us()):
             self._left(backend)
-        if entries or whole:
-            self._log.event("list", kind=kind.value, version=page.version, entries=len(entries))
-            self._owner.put(Listed(ListUpdate(kind, page.version, entries)))
+        self._owner.put(Listed(ListUpdate(kind, self._version or 0, tuple(entry for entry, _, _ in laid))))
--- a/stoatgw/director/list.py
+++ b/stoatgw/director/list.py
@@ -11,6 +11,9 @@
 STATES = {"SERVING": Lifecycle.ON, "DRAINING": Lifecycle.FADING, "DELETED": Lifecycle.OFF}
 
 
+Row = tuple[ServerEntry, str, int]  # an entry, and where it is
+
+
 class ListError(ValueError):
     """An object of the list cannot be read; the message names the field."""
 
@@ -21,7 +24,7 @@
 
     version: int
     whole: bool
-    rows: tuple[tuple[ServerEntry, str, int], ...]
+    rows: tuple[Row, ...]
 
 
 class ListReader:
@@ -41,7 +44,7 @@
         version = int(_number(data, "generation", 0))
         return Page(version, whole, tuple(self._row(item) for item in instances))
 
-    def _row(self, item: Any) -> tuple[ServerEntry, str, int]:
+    def _row(self, item: Any) -> Row:
         if not isinstance(item, dict):
             raise ListError("instances: an entry is no object")
         name, state = item.get("instanceId"), item.get("lifecycle")
--- a/stoatgw/operations.py
+++ b/stoatgw/operations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import assert_never
 
 from stoatgw.clients.house import House
 from stoatgw.director.director import Director
@@ -10,6 +11,7 @@
 from stoatgw.management.http import Answer
 from stoatgw.owner.messages import Activate, Drain
 from stoatgw.owner.owner import Owner
+from stoatgw.suspension.keeper import Keeper
 from stoatgw.telemetry.log import EventLog
 
 # Newcomers stop 0.2 s after a PING is told no, which it is ten times a second; at 4 s nobody may be here.
@@ -18,9 +20,15 @@
 
 class Operations:
     def __init__(
-        self, house: House, owner: Owner, director: Director, log: EventLog, accepts: Callable[[], bool]
+        self,
+        house: House,
+        owner: Owner,
+        director: Director,
+        keeper: Keeper,
+        log: EventLog,
+        accepts: Callable[[], bool],
     ) -> None:
-        self._house, self._owner, self._director = house, owner, director
+        self._house, self._owner, self._director, self._keeper = house, owner, director, keeper
         self._log, self._accepts = log, accepts
 
     def take(self, order: Order) -> Answer:
@@ -30,12 +38,14 @@
             case Deed.METRICS:
                 figures = self._house.figures
                 return Answer(200, figures.render(self._director.listed, len(self._owner.avoided())))
+            case Deed.SUSPEND | Deed.RESUME:
+                return self._change(order)
             case Deed.DRAIN:
                 return self._drain()
             case Deed.ACTIVATE:
                 return self._activate()
-        return Answer(404, "no: there is no such call\n")
-
+            case _:
+                assert_never(order.deed)
     def _ready(self) -> Answer:
         stage = self._house.course.stage.value
         if not self._house.course.serving:
@@ -46,6 +56,17 @@
             return Answer(503, "no: another process takes the clients as yet\n")
         return Answer(200, "yes: takes clients\n")
 
+    def _change(self, order: Order) -> Answer:
+        name, keeper = order.server, self._keeper
+        if not keeper.known(name):
+            return Answer(404, "no: there is no such session server\n")
+        if order.deed is Deed.RESUME:
+            why = keeper.resume(name)
+            return Answer(500, f"no: still out, {why}\n") if why else Answer(200, f"yes: {name} is used again\n")
+        why = keeper.suspend(name)
+        # Out it is, but an operator who counts on it over a replaced process has to know.
+        return Answer(500, f"no: out in this process alone, {why}\n") if why else Answer(200, f"yes: {name} is out\n")
+
     def _drain(self) -> Answer:
         course = self._house.course
         if course.drain():
--- a/stoatgw/owner/messages.py
+++ b/stoatgw/owner/messages.py
@@ -179,6 +179,14 @@
     """The drain is called back: nobody else is moved, newcomers are taken."""
 
 
+@dataclass(frozen=True, slots=True)
+class Vacate:
+    """A server is taken out by hand, or (out=False) used again: who stands there is moved, one by one."""
+
+    server: str
+    out: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Rebalance:
     """The time for a step towards balance."""
@@ -186,5 +194,5 @@
 
 Message = (
     Arrived | Stood | FetchUp | FetchEnded | ClientLeft | Heard | Listed | Probed | Due | Overdue | Drain | Unserved
-    | SendAway | Activate | Rebalance
+    | SendAway | Activate | Vacate | Rebalance
 )
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -60,10 +60,12 @@
     SendAway,
     Stood,
     Unserved,
+    Vacate,
 )
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
+VACATE_S = 2.0  # a server taken out by hand is left over so long: well before a restart, and no herd elsewhere
 GOLDEN = 0.6180339887  # steps of this part of a span, over and over, never fall close together
 
 
@@ -96,6 +98,7 @@
         self._draining, self._newcomers_until_us = False, 0
         self._serve_until_us, self._over_us, self._late = 0, 0, 0
         self._moves: list[asyncio.TimerHandle] = []  # of a drain, not due yet
+        self._vacating: dict[str, list[asyncio.TimerHandle]] = {}  # servers out by hand: moves off them
         self._fleet: Fleet | None = None
         self._now_us = 0
 
@@ -182,6 +185,8 @@
                     self._send_away(req)
             case Unserved():
                 self._answer_waiting()
+            case Vacate(server, out):
+                self._vacate(server, out)
             case Activate():
                 self._activate()
             case Rebalance():
@@ -329,9 +334,22 @@
             else:
                 self._fail(req)
 
+    def _vacate(self, server: str, out: bool) -> None:
+        """Nobody waits for its restart to be cut off: the list does not tell it to send its clients away."""
+        for handle in self._vacating.pop(server, []):
+            handle.cancel()
+        if not out:
+            return
+        standing = [req for req in self._reqs.values() if req.up and req.server == server]
+        loop, moves = asyncio.get_running_loop(), self._vacating.setdefault(server, [])
+        for place, req in enumerate(standing):
+            moves.append(loop.call_later(VACATE_S * place / len(standing), self.put, SendAway(req)))
+
     def _move_late(self, req: Req) -> None:
         """One that came up in a drain leaves among the others, by even steps that never fall together."""
         if not self._draining:
+            if req.server in self._vacating:  # it was under way there when the server was taken out
+                self._send_away(req)
             return
         self._late += 1
         left_us = self._newcomers_until_us + self._over_us * (self._late * GOLDEN % 1.0) - self._now_us
--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -27,6 +27,7 @@
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import Drain, Mover
 from stoatgw.owner.owner import Owner
+from stoatgw.suspension.overlay import Overlay
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
@@ -109,6 +110,7 @@
     owner = Owner(settings, deployment.seed, clock, log, counters, mover=mover)
     columns = Columns(settings.report_columns)
     prober = Prober(owner, clock, columns, deployment.dial_timeout_us, counters)
+    overlay = Overlay()
     director = Director(
         deployment.discovery,
         ListReader(deployment.zones, deployment.kinds),
@@ -119,6 +121,7 @@
         log,
         counters,
         Backoff(settings.balancers, random.Random(deployment.seed)),
+        overlay.lay,
     )
     room = Room(deployment.sockets - (CALLERS_KEPT if deployment.management else 0))
     house = House(deployment, owner, backends, clock, columns.row, counters, log, room)
@@ -131,6 +134,12 @@
     loop.add_signal_handler(
         signal.SIGUSR1, lambda: log.event("counters", open=listener.open, reqs=owner.open, **counters.all())
     )
+    keeper = None
+    if deployment.management is not None:
+        from stoatgw.suspension.keeper import Keeper
+
+        keeper = Keeper(os.environ.get("TMPDIR"), overlay, director, owner, clock, log)
+        keeper.begin()
     director.known(deployment.known)
     owner.start(Backstage(backends, prober, director))
     bind(listener, deployment.listen)
@@ -142,17 +151,17 @@
         beside = Beside(os.environ.get("TMPDIR"), house, listener, director, log)
         beside.begin()
         loops.append(beside.run)
-    if deployment.management is not None:
+    if deployment.management is not None and keeper is not None:
         from stoatgw.management.listener import ManagementListener
         from stoatgw.operations import Operations
 
-        desk = Operations(house, owner, director, log, lambda: beside is None or beside.accepts)
+        desk = Operations(house, owner, director, keeper, log, lambda: beside is None or beside.accepts)
         callers = ManagementListener(desk, log, counters)
         try:
             callers.bind(deployment.management)
         except OSError as fault:
             raise ConfigError(f"management: cannot listen there: {fault.strerror}") from None
-        loops.append(callers.run)
+        loops += [callers.run, keeper.run]
     tasks = [loop.create_task(run()) for run in loops]
     log.event("ready", listen=str(deployment.listen))
     stop = loop.create_task(stopped.wait())
--- /dev/null
+++ b/stoatgw/suspension/overlay.py
@@ -0,0 +1,43 @@
+"""Bans laid over discovery's list. Pure; the clock's time is handed in."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+from stoatgw.decisions.interface import Lifecycle, ServerEntry
+
+Bans = Mapping[str, int]  # session servers out by hand, and since when (us of Unix time)
+
+
+class Overlay:
+    def __init__(self) -> None:
+        self._bans: dict[str, int] = {}
+        self._back: dict[str, tuple[int, int]] = {}  # called back: banned since, back since
+
+    @property
+    def bans(self) -> Bans:
+        return self._bans
+
+    def take(self, bans: Bans, now_us: int) -> tuple[list[str], list[str]]:
+        """The bans in force from now on; gives those newly out, and those called back."""
+        out = sorted(bans.keys() - self._bans.keys())
+        back = sorted(self._bans.keys() - bans.keys())
+        for name in out:
+            self._back.pop(name, None)
+        for name in back:
+            self._back[name] = self._bans[name], now_us
+        self._bans = dict(bans)
+        return out, back
+
+    def lay(self, entry: ServerEntry) -> ServerEntry:
+        """An entry of the list as the module is to see it."""
+        name = entry.server
+        if name in self._bans:
+            return entry if entry.lifecycle is not Lifecycle.ON else replace(entry, lifecycle=Lifecycle.FADING)
+        since_us, back_us = self._back.get(name, (0, 0))
+        if back_us and entry.last_start_us < since_us:
+            # Staff restart a server while it is out, and the list may tell of that late: until it does, the
+            # server counts as started when it was called back, and is filled no faster than a cold one.
+            return replace(entry, last_start_us=back_us)
+        return entry
--- /dev/null
+++ b/stoatgw/suspension/store.py
@@ -0,0 +1,92 @@
+"""The bans in one small file: versioned, checksummed, written whole, renamed into place, changed under a lock."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import zlib
+from pathlib import Path
+
+import orjson
+
+from stoatgw.suspension.overlay import Bans
+
+NAME = "stoatgw-suspended"
+HEAD = b"stoatgw-suspended 1 "  # its version; the checksum of the rest follows
+SIZE_MOST = 1 << 20
+
+
+class StoreError(Exception):
+    """The file cannot be read or written; the message names it and says why."""
+
+
+def encode(bans: Bans) -> bytes:
+    body = orjson.dumps(dict(bans), option=orjson.OPT_SORT_KEYS)
+    return HEAD + b"%08x\n" % zlib.crc32(body) + body + b"\n"
+
+
+def decode(data: bytes) -> dict[str, int]:
+    """Raises ValueError."""
+    head, _, rest = data.partition(b"\n")
+    body = rest.removesuffix(b"\n")
+    if not head.startswith(HEAD) or rest == body:
+        raise ValueError("is none of ours, or cut off")
+    if head[len(HEAD) :] != b"%08x" % zlib.crc32(body):
+        raise ValueError("has a wrong checksum")
+    bans = orjson.loads(body)
+    if not isinstance(bans, dict) or not all(type(since_us) is int for since_us in bans.values()):
+        raise ValueError("holds no bans")
+    return bans
+
+
+class Store:
+    def __init__(self, folder: Path) -> None:
+        self._path, self._lock = folder / NAME, folder / f"{NAME}.lock"
+
+    def seen(self) -> tuple[int, int, int] | None:
+        """Changes whenever the file does; None without one."""
+        try:
+            stat = self._path.stat()
+        except OSError:
+            return None
+        return stat.st_ino, stat.st_mtime_ns, stat.st_size
+
+    def load(self) -> dict[str, int]:
+        """Raises StoreError. No file: no bans."""
+        try:
+            with self._path.open("rb") as file:
+                return decode(file.read(SIZE_MOST))
+        except FileNotFoundError:
+            return {}
+        except OSError as fault:
+            raise StoreError(f"{self._path.name}: cannot be read: {fault.strerror}") from None
+        except ValueError as fault:
+            raise StoreError(f"{self._path.name}: {fault}") from None
+
+    def change(self, name: str, since_us: int | None) -> dict[str, int]:
+        """Ban a server since then, or (None) no longer; gives all bans. Raises StoreError, with nothing changed."""
+        try:
+            lock = os.open(self._lock, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError as fault:
+            raise StoreError(f"{self._lock.name}: {fault.strerror}") from None
+        try:
+            # Another process of this proxy may change it as well; each holds the lock for one small write.
+            fcntl.flock(lock, fcntl.LOCK_EX)
+            bans = self.load()
+            if since_us is None:
+                bans.pop(name, None)
+            else:
+                bans.setdefault(name, since_us)
+            self._write(encode(bans))
+            return bans
+        finally:
+            os.close(lock)
+
+    def _write(self, data: bytes) -> None:
+        draft = self._path.with_suffix(f".{os.getpid()}")
+        try:
+            draft.write_bytes(data)
+            draft.rename(self._path)
+        except OSError as fault:
+            draft.unlink(missing_ok=True)
+            raise StoreError(f"{self._path.name}: cannot be written: {fault.strerror}") from None
