A connection that brings nothing back is given up after 4 s, not 5, so that 7 s always hold

Cause, by arithmetic: a line comes from the client every 2 s, so a connection that falls silent right after an answer has its next line up to 2 s later; listener.py then waited 5 s and up to 0.25 s for its look, 7.25 s in all where 7 are allowed (and 0.5 s more for the end of a half line). Test: the give-up comes within 7 s for a silence at either end of the client's 2 s; it fails at 5 s.

--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -15,7 +15,10 @@
 from stoatgw.sockets import calls
 
 BACKLOG = 4096
-WATCH_S, UNANSWERED_US = 0.25, 5_000_000
+WATCH_S = 0.25
+# A client sends a line every 2 s, and one that brings nothing back is to be moved within 7 s of the last that came:
+# with the watch and the wait for the end of a line, 5 s were too many.
+UNANSWERED_US = 4_000_000
 DELAY_PART = 3  # message delays are told from a third of the shortest aim on
 
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -6,6 +6,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 
 import pytest
 import uvloop
@@ -13,13 +14,14 @@
 from stoatgw.backends.backend import Backends
 from stoatgw.backends.delays import Messages, latest_ms
 from stoatgw.backends.probe import Columns, Prober
-from stoatgw.clients.house import House, RecentIds
-from stoatgw.clients.listener import Listener
+from stoatgw.clients.house import House, RecentIds, Standing
+from stoatgw.clients.listener import WATCH_S, Listener
 from stoatgw.clients.room import Room
+from stoatgw.clients.session import BOUNDARY_S
 from stoatgw.config.deployment import Address, read
-from stoatgw.decisions.interface import ListKind, ListUpdate, NoteKind, ServerEntry
+from stoatgw.decisions.interface import ListKind, ListUpdate, NoteKind, Request, ServerEntry
 from stoatgw.owner.clock import Clock
-from stoatgw.owner.messages import Drain, Heard, Listed, Message
+from stoatgw.owner.messages import Drain, Heard, Listed, Message, Req
 from stoatgw.owner.owner import Owner
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
@@ -391,3 +393,24 @@
         assert proxy.counters["fetches"] == 1 and proxy.asked == []
 
     play(echo, test)
+
+
+def test_a_connection_that_brings_nothing_back_is_given_up_in_time_whenever_it_fell_silent() -> None:
+    """A client sends a line every 2 s: 7 s after the last line that came back, whole or half, it is elsewhere."""
+
+    async def test(proxy: Proxy) -> None:
+        given: list[float] = []
+        for silent_us in (0, 1_999_999):
+            messages, start_us = Messages(), proxy.clock.now_us()
+            messages.ask([b"last"], start_us)
+            messages.answer(b"last", start_us)
+            messages.ask([b"next"], start_us + silent_us)
+            req = Req(Request("0" * 16, 0, 2_000_000), 0, None)  # type: ignore[arg-type]
+            proxy.house.standing = {"x": Standing(req, "s", messages, lambda: given.append(1))}
+            latest_us = start_us + 7_000_000 - int((WATCH_S + BOUNDARY_S) * 1e6)
+            proxy.house.clock = SimpleNamespace(now_us=lambda latest_us=latest_us: latest_us)  # type: ignore[assignment]
+            proxy.listener._look(False)
+        assert given == [1, 1]
+        proxy.house.standing = {}
+
+    play(echo, test)
