--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -187,3 +187,43 @@
         assert await program.wait() == 0
 
     asyncio.run(play())
+
+
+def test_a_ban_holds_over_an_upgrade_until_the_call_back(tmp_path: Path, listening: socket.socket) -> None:
+    async def play() -> None:
+        platform = Platform(tmp_path, listening)
+        await platform.begin()
+        old, one = await platform.start()
+        await platform.until(one, 200)
+        assert (await platform.ask(one, "/v1/session-servers/s-9/suspend"))[0] == 404
+        assert (await platform.ask(one, "/v1/session-servers/s-1/suspend"))[0] == 200
+        assert "proxy.targets_disabled:1|g" in (await platform.ask(one, "/v1/metrics", "GET"))[1]
+        new, two = await platform.start()
+        await platform.until(two, 200)
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        for word, place in ((b"BUSY", "suspend"), (b"UP", "resume")):
+            for _ in range(2):
+                assert (await platform.ask(two, f"/v1/session-servers/s-1/{place}"))[0] == 200
+            platform.ids += 1
+            answer, _, _ = await platform.first(b"OPEN %016x 1 c=chat,d=2000\r\n" % platform.ids)
+            assert answer.startswith(word)
+        new.send_signal(signal.SIGTERM)
+        assert await new.wait() == 0
+
+    asyncio.run(play())
+
+
+def test_a_kept_folder_that_cannot_be_used_ends_no_process(tmp_path: Path, listening: socket.socket) -> None:
+    async def play() -> None:
+        platform = Platform(tmp_path, listening)
+        await platform.begin()
+        (tmp_path / "tmp").rmdir()  # TMPDIR names a folder that is gone
+        program, port = await platform.start()
+        await platform.until(port, 200)
+        assert (await platform.ask(port, "/v1/session-servers/s-1/suspend"))[0] == 500
+        assert (await platform.ask(port, "/v1/readyz", "GET"))[0] == 200
+        program.send_signal(signal.SIGTERM)
+        assert await program.wait() == 0
+
+    asyncio.run(play())
