A fault in looking for the other process or for bans no longer ends the proxy

Need, from reading the change as one who runs it at night: beside.run and keeper.run were among the tasks whose end stops the program, and an unreadable $TMPDIR would have logged ten lines a second. Both are looks now, called by one loop that logs a fault once and goes on; a clean end takes its lock file away. Test: a look that always faults is looked on with.

--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -9,8 +9,10 @@
 import resource
 import signal
 import sys
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from functools import partial
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -143,17 +145,18 @@
     director.known(deployment.known)
     owner.start(Backstage(backends, prober, director))
     bind(listener, deployment.listen)
-    loops = [owner.run, director.run, listener.run, listener.watch]
+    loops: list[Callable[[], Coroutine[Any, Any, None]]] = [owner.run, director.run, listener.run, listener.watch]
     beside = None
     if "LB_LISTEN_FD" in os.environ:
-        from stoatgw.upgrade.beside import Beside
+        from stoatgw.upgrade.beside import LOOK_S, Beside
 
         beside = Beside(os.environ.get("TMPDIR"), house, listener, director, log)
         beside.begin()
-        loops.append(beside.run)
+        loops.append(partial(every, LOOK_S, beside.look, log))
     if deployment.management is not None and keeper is not None:
         from stoatgw.management.listener import ManagementListener
         from stoatgw.operations import Operations
+        from stoatgw.suspension.keeper import LOOK_S as BANS_LOOK_S
 
         desk = Operations(house, owner, director, keeper, log, lambda: beside is None or beside.accepts)
         callers = ManagementListener(desk, log, counters)
@@ -161,7 +164,7 @@
             callers.bind(deployment.management)
         except OSError as fault:
             raise ConfigError(f"management: cannot listen there: {fault.strerror}") from None
-        loops += [callers.run, keeper.run]
+        loops += [callers.run, partial(every, BANS_LOOK_S, keeper.look, log)]
     tasks = [loop.create_task(run()) for run in loops]
     log.event("ready", listen=str(deployment.listen))
     stop = loop.create_task(stopped.wait())
@@ -185,9 +188,24 @@
         if passed >= least_s and not listener.open:
             break
         await asyncio.sleep(0.02)
+    if beside is not None:
+        beside.leave()
     log.event("stopped", open=listener.open, reqs=owner.open, **counters.all())
 
 
+async def every(pause_s: float, look: Callable[[], None], log: EventLog) -> None:
+    """Look again and again; a fault of one look must not end the proxy."""
+    told = ""
+    while True:
+        await asyncio.sleep(pause_s)
+        try:
+            look()
+        except Exception as fault:
+            if told != repr(fault):
+                told = repr(fault)
+                log.event("look_fault", error=told)
+
+
 def bind(listener: Listener, listen: Address) -> None:
     """Listen, or accept where the platform listens for us. Raises ConfigError."""
     number = os.environ.get("LB_LISTEN_FD")
--- a/stoatgw/suspension/keeper.py
+++ b/stoatgw/suspension/keeper.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from pathlib import Path
 
 from stoatgw.director.director import Director
@@ -29,7 +28,7 @@
         """What was out before this process began is out, before it hears of any list."""
         if self._store is None:
             self._log.event("suspended_not_kept", error="TMPDIR is not set")
-        self._look()
+        self.look()
 
     def known(self, name: str) -> bool:
         """Whether there is such a session server, in the list or out by hand."""
@@ -73,7 +72,8 @@
         if self._store is not None:
             self._seen = self._store.seen()
 
-    def _look(self) -> None:
+    def look(self) -> None:
+        """To be called every LOOK_S: the other process of this proxy may have been told."""
         if self._store is None or (seen := self._store.seen()) == self._seen:
             return
         self._seen = seen
@@ -83,8 +83,3 @@
             self._log.event("suspended_unread", error=str(fault))
             return
         self._apply(bans)
-
-    async def run(self) -> None:
-        while True:
-            await asyncio.sleep(LOOK_S)
-            self._look()
--- a/stoatgw/upgrade/beside.py
+++ b/stoatgw/upgrade/beside.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import replace
 from pathlib import Path
 
@@ -26,6 +25,7 @@
         self._own = Peer(False, house.clock.now_us(), BASE)
         self._others: list[Peer] = []
         self.accepts = False
+        self._told = ""  # the trouble last told
 
     def begin(self) -> None:
         """Be seen, and take clients unless another process still does."""
@@ -61,30 +61,40 @@
             try:
                 self._peers.tell(self._own)
             except OSError as fault:
-                self._log.event("peers_untold", error=str(fault))
+                self._trouble("peers_untold", fault)
+
+    def _trouble(self, event: str, fault: OSError) -> None:
+        if self._told != str(fault):  # it lasts, and is looked for ten times a second
+            self._told = str(fault)
+            self._log.event(event, error=self._told)
 
     def _look(self) -> None:
         if self._peers is None:
             return
         try:
             self._others = self._peers.others()
+            self._told = ""
         except OSError as fault:
-            self._log.event("peers_unseen", error=str(fault))
+            self._trouble("peers_unseen", fault)
             self._others = []
         self._house.room.elsewhere = sum(peer.held for peer in self._others)
 
-    async def run(self) -> None:
-        while True:
-            await asyncio.sleep(LOOK_S)
-            self._look()
-            held = BASE + self._house.room.held
-            if held != self._own.held:
-                self._own = replace(self._own, held=held)
-                self._tell()
-            if not self._own.ready:
-                self._begin_later()
-            else:
-                self._yield_or_accept()
+    def look(self) -> None:
+        """To be called every LOOK_S."""
+        self._look()
+        held = BASE + self._house.room.held
+        if held != self._own.held:
+            self._own = replace(self._own, held=held)
+            self._tell()
+        if not self._own.ready:
+            self._begin_later()
+        else:
+            self._yield_or_accept()
+
+    def leave(self) -> None:
+        """This process ends."""
+        if self._peers is not None:
+            self._peers.leave()
 
     def _begin_later(self) -> None:
         now_us, known = self._house.clock.now_us(), self._house.backends.known
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -133,13 +133,13 @@
     assert old.state() is Lifecycle.ON and not old.keeper.known("s-9")
     assert old.keeper.suspend("s-1") == old.keeper.suspend("s-1") == ""
     assert old.state() is Lifecycle.FADING and Vacate("s-1", True) in old.inbox.told
-    new.keeper._look()
+    new.keeper.look()
     assert new.state() is Lifecycle.FADING
     old.director.known(page(entry(startedAtMs=9)))  # restarted, and listed whole once more
     assert old.state() is Lifecycle.FADING
     assert Side(tmp_path).state() is Lifecycle.FADING
     assert new.keeper.resume("s-1") == ""
-    old.keeper._look()
+    old.keeper.look()
     assert old.state() is new.state() is Side(tmp_path).state() is Lifecycle.ON
 
 
@@ -160,7 +160,7 @@
         patch.setattr(Path, "write_bytes", full)
         assert "No space" in side.keeper.resume("s-1") and side.state() is Lifecycle.FADING
     (tmp_path / NAME).write_bytes(b"not ours")
-    side.keeper._look()
+    side.keeper.look()
     assert side.state() is Lifecycle.FADING and "none of ours" in side.keeper.resume("s-1")
     assert sorted(path.name for path in tmp_path.iterdir()) == [NAME, f"{NAME}.lock"]
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,6 +15,8 @@
 import pytest
 
 from stoatgw.config.deployment import Address, ConfigError
+from stoatgw.service import every
+from stoatgw.telemetry.log import EventLog
 from stoatgw.upgrade.inherited import adopt
 from stoatgw.upgrade.peers import Peer, Peers
 from stoatgw.upgrade.plan import LEARN_US, LIST_US, may_begin, newer
@@ -227,3 +229,22 @@
         assert await program.wait() == 0
 
     asyncio.run(play())
+
+
+def test_a_fault_of_a_look_does_not_end_the_looking() -> None:
+    async def play() -> int:
+        looks = 0
+
+        def look() -> None:
+            nonlocal looks
+            looks += 1
+            raise RuntimeError("broken")
+
+        task = asyncio.get_running_loop().create_task(every(0, look, EventLog("test")))
+        while looks < 3:
+            await asyncio.sleep(0)
+        assert not task.done()
+        task.cancel()
+        return looks
+
+    assert asyncio.run(play()) >= 3
