--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -6,11 +6,16 @@
 from collections.abc import Callable
 from typing import Any
 
+import hypothesis
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from stoatgw.decisions.interface import Event, ListKind, ListUpdate, Request, ServerEntry, Status
 from stoatgw.owner.clock import Clock
+from stoatgw.owner.course import Course, Stage
 from stoatgw.owner.messages import (
+    Activate,
     Arrived,
     ClientLeft,
     Drain,
@@ -21,9 +26,9 @@
     Message,
     Overdue,
     Req,
-    Stage,
     Stood,
 )
+from stoatgw.owner.messages import Stage as FetchStage
 from stoatgw.owner.owner import Owner
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
@@ -99,7 +104,7 @@
     asyncio.run(run())
 
 
-def end(status: Status, stage: Stage) -> FetchEnd:
+def end(status: Status, stage: FetchStage) -> FetchEnd:
     return FetchEnd(status, stage)
 
 
@@ -108,8 +113,8 @@
         await stand.servers("a", "b", "c")
         req, door = stand.req()
         await stand.take(Arrived(req))
-        await stand.take(FetchEnded(req, 0, end(Status.DIAL_FAILED, Stage.CONNECTING)))
-        await stand.take(FetchEnded(req, 1, end(Status.DIAL_FAILED, Stage.CONNECTING)))
+        await stand.take(FetchEnded(req, 0, end(Status.DIAL_FAILED, FetchStage.CONNECTING)))
+        await stand.take(FetchEnded(req, 1, end(Status.DIAL_FAILED, FetchStage.CONNECTING)))
         (first, second, last) = door.told
         assert (first[:2], second[:2]) == (("fetch", 0), ("fetch", 1)) and first[2] != second[2]
         assert last == ("busy", 1_000_000) and stand.owner.open == 0
@@ -122,7 +127,7 @@
         await stand.servers("a", "b", "c")
         req, door = stand.req()
         await stand.take(Arrived(req))
-        ended = FetchEnded(req, 0, end(Status.SHED, Stage.SENT))
+        ended = FetchEnded(req, 0, end(Status.SHED, FetchStage.SENT))
         await stand.take(ended, ended)
         assert len(door.told) == 2 and stand.counters["fetches_shed"] == 1
 
@@ -137,7 +142,7 @@
         await stand.take(Arrived(req))
         if up:
             await stand.take(FetchUp(req, 0))
-        await stand.take(ClientLeft(req), FetchEnded(req, 0, end(Status.REVOKED, Stage.SENT)))
+        await stand.take(ClientLeft(req), FetchEnded(req, 0, end(Status.REVOKED, FetchStage.SENT)))
         assert stand.owner.open == 0 and len(door.told) == 1
 
     drive(play)
@@ -206,7 +211,64 @@
             patch.setattr(stand.owner._balancer, "handle", fault)
             await stand.take(Arrived(fresh))
         assert last.told == ["failed"] and stand.backstage.done[-1] == "fetch_list"
-        await stand.take(FetchEnded(out, 0, end(Status.DIAL_FAILED, Stage.CONNECTING)))
+        await stand.take(FetchEnded(out, 0, end(Status.DIAL_FAILED, FetchStage.CONNECTING)))
         assert first.told[-1] == "failed" and stand.owner.open == 1
 
     drive(play)
+
+
+ACTS = st.lists(st.sampled_from(["ask", "up", "end", "drain", "activate", "stop", "later"]), max_size=25)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=120)
+@given(ACTS)
+def test_however_a_drain_is_called_and_called_back_each_client_gets_one_answer(acts: list[str]) -> None:
+    """Beside a plain model: who comes while the proxy serves is placed and stays, who stands in a drain is moved."""
+
+    async def play(stand: Stand) -> None:
+        course, stage = Course(), Stage.SERVING
+        await stand.servers("a", "b", "c")
+        reqs: list[tuple[Req, Door]] = []
+        for act in acts:
+            if act == "ask":
+                reqs.append(stand.req())
+                await stand.take(Arrived(reqs[-1][0]))
+                placed = reqs[-1][1].told[0][0] == "fetch"
+                assert placed == (stage is not Stage.STOPPING)
+            elif act == "up":
+                for req, door in reqs:
+                    if req.out is not None and not req.up:
+                        await stand.take(FetchUp(req, req.out))
+                        assert stage is not Stage.SERVING or "move" not in door.told
+            elif act == "end":
+                for req, _ in reqs:
+                    if req.out is not None:
+                        await stand.take(FetchEnded(req, req.out, end(Status.REVOKED, FetchStage.UP)))
+            elif act == "drain":
+                assert course.drain() == (stage is Stage.SERVING)
+                if stage is Stage.SERVING:
+                    stage = Stage.DRAINING
+                    await stand.take(Drain(0, 0, 60_000_000))
+            elif act == "activate":
+                assert course.activate() == (stage is not Stage.STOPPING)
+                if stage is Stage.DRAINING:
+                    stage = Stage.SERVING
+                    await stand.take(Activate())
+            elif act == "stop":
+                course.stop(handed_over=False)
+                stage = Stage.STOPPING
+                await stand.take(Drain(0, 0))
+            else:
+                await asyncio.sleep(0.002)
+                await stand.take()
+            assert course.stage is stage and course.lets_in == (stage is Stage.SERVING)
+        if stage is not Stage.SERVING:
+            await asyncio.sleep(0.002)
+            await stand.take()
+            assert all("move" in door.told for req, door in reqs if req.up and req.out is not None)
+        for _, door in reqs:
+            finals = [word for word in door.told if word == "failed" or word[0] == "busy"]
+            assert len(finals) <= 1
+        stand.owner._cancel_moves()
+
+    drive(play)
