Processes killed at any point of an upgrade are tested; a lasting trouble is logged once

From reading the issue line by line: the old process killed before the new one's yes, one killed in mid-move, the next upgrade at once, and SIGHUP in a drain had no test; they have now, on real processes, and held as written. Mended: a full $TMPDIR would have been logged ten times a second again, as each good look forgot the trouble told. The tests on real processes share one stand.

--- a/stoatgw/operations.py
+++ b/stoatgw/operations.py
@@ -46,6 +46,7 @@
                 return self._activate()
             case _:
                 assert_never(order.deed)
+
     def _ready(self) -> Answer:
         stage = self._house.course.stage.value
         if not self._house.course.serving:
--- a/stoatgw/upgrade/beside.py
+++ b/stoatgw/upgrade/beside.py
@@ -25,7 +25,7 @@
         self._own = Peer(False, house.clock.now_us(), BASE)
         self._others: list[Peer] = []
         self.accepts = False
-        self._told = ""  # the trouble last told
+        self._told: dict[str, str] = {}  # troubles that last, by event: told once
 
     def begin(self) -> None:
         """Be seen, and take clients unless another process still does."""
@@ -60,20 +60,21 @@
         if self._peers is not None:
             try:
                 self._peers.tell(self._own)
+                self._told.pop("peers_untold", None)
             except OSError as fault:
                 self._trouble("peers_untold", fault)
 
     def _trouble(self, event: str, fault: OSError) -> None:
-        if self._told != str(fault):  # it lasts, and is looked for ten times a second
-            self._told = str(fault)
-            self._log.event(event, error=self._told)
+        if self._told.get(event) != str(fault):  # it is met ten times a second
+            self._told[event] = str(fault)
+            self._log.event(event, error=str(fault))
 
     def _look(self) -> None:
         if self._peers is None:
             return
         try:
             self._others = self._peers.others()
-            self._told = ""
+            self._told.pop("peers_unseen", None)
         except OSError as fault:
             self._trouble("peers_unseen", fault)
             self._others = []
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 import sys
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 
 import pytest
@@ -134,7 +134,6 @@
 
 
 async def take_over(platform: Platform) -> None:
-    await platform.begin()
     old, port = await platform.start()
     await platform.until(port, 200)
     clients = [asyncio.ensure_future(platform.client()) for _ in range(5)]
@@ -163,18 +162,26 @@
     assert [await each for each in more] == [b"MOVE\r\n"] * 12
 
 
-def test_a_second_process_takes_over_and_nobody_is_lost(tmp_path: Path, listening: socket.socket) -> None:
-    async def play() -> None:
-        async with asyncio.timeout(40):
-            await take_over(Platform(tmp_path, listening))
-
-    asyncio.run(play())
+Play = Callable[[Platform], Awaitable[None]]
 
 
-def test_a_drained_proxy_sends_all_away_and_serves_again_when_told(tmp_path: Path, listening: socket.socket) -> None:
-    async def play() -> None:
+@pytest.fixture
+def play(tmp_path: Path, listening: socket.socket) -> Callable[[Play], None]:
+    async def run(test: Play) -> None:
         platform = Platform(tmp_path, listening)
         await platform.begin()
+        async with asyncio.timeout(40):
+            await test(platform)
+
+    return lambda test: asyncio.run(run(test))
+
+
+def test_a_second_process_takes_over_and_nobody_is_lost(play: Callable[[Play], None]) -> None:
+    play(take_over)
+
+
+def test_a_drained_proxy_sends_all_away_and_serves_again_when_told(play: Callable[[Play], None]) -> None:
+    async def test(platform: Platform) -> None:
         program, port = await platform.start()
         await platform.until(port, 200)
         clients = [asyncio.ensure_future(platform.client()) for _ in range(5)]
@@ -191,13 +198,11 @@
         program.send_signal(signal.SIGTERM)
         assert await program.wait() == 0
 
-    asyncio.run(play())
+    play(test)
 
 
-def test_a_ban_holds_over_an_upgrade_until_the_call_back(tmp_path: Path, listening: socket.socket) -> None:
-    async def play() -> None:
-        platform = Platform(tmp_path, listening)
-        await platform.begin()
+def test_a_ban_holds_over_an_upgrade_until_the_call_back(play: Callable[[Play], None]) -> None:
+    async def test(platform: Platform) -> None:
         old, one = await platform.start()
         await platform.until(one, 200)
         assert (await platform.ask(one, "/v1/session-servers/s-9/suspend"))[0] == 404
@@ -216,26 +221,49 @@
         new.send_signal(signal.SIGTERM)
         assert await new.wait() == 0
 
-    asyncio.run(play())
+    play(test)
 
 
-def test_a_kept_folder_that_cannot_be_used_ends_no_process(tmp_path: Path, listening: socket.socket) -> None:
-    async def play() -> None:
-        platform = Platform(tmp_path, listening)
-        await platform.begin()
-        (tmp_path / "tmp").rmdir()  # TMPDIR names a folder that is gone
+def test_a_process_killed_at_any_point_leaves_one_that_serves(play: Callable[[Play], None]) -> None:
+    async def test(platform: Platform) -> None:
+        first, port = await platform.start()
+        await platform.until(port, 200)
+        second, port = await platform.start()
+        first.kill()  # before the other's yes
+        await platform.until(port, 200)
+        third, port = await platform.start()
+        await platform.until(port, 200)
+        second.send_signal(signal.SIGTERM)
+        second.kill()  # in mid-move
+        fourth, port = await platform.start()  # and the next upgrade at once
+        await platform.until(port, 200)
+        third.send_signal(signal.SIGTERM)
+        assert await third.wait() == 0
+        assert (await platform.first(b"OPEN %016x 1 c=chat,d=2000\r\n" % 7))[0].startswith(b"UP")
+        fourth.kill()
+        for each in (first, second, fourth):
+            await each.wait()
+
+    play(test)
+
+
+def test_a_kept_folder_that_cannot_be_used_ends_no_process(play: Callable[[Play], None]) -> None:
+    async def test(platform: Platform) -> None:
+        (platform.folder / "tmp").rmdir()  # TMPDIR names a folder that is gone
         program, port = await platform.start()
         await platform.until(port, 200)
         assert (await platform.ask(port, "/v1/session-servers/s-1/suspend"))[0] == 500
-        assert (await platform.ask(port, "/v1/readyz", "GET"))[0] == 200
+        await platform.ask(port, "/v1/proxy/drain")
+        program.send_signal(signal.SIGHUP)  # a reload leaves a drain as it is
+        assert (await platform.ask(port, "/v1/readyz", "GET"))[0] == 503
         program.send_signal(signal.SIGTERM)
         assert await program.wait() == 0
 
-    asyncio.run(play())
+    play(test)
 
 
 def test_a_fault_of_a_look_does_not_end_the_looking() -> None:
-    async def play() -> int:
+    async def loop() -> int:
         looks = 0
 
         def look() -> None:
@@ -250,4 +278,4 @@
         task.cancel()
         return looks
 
-    assert asyncio.run(play()) >= 3
+    assert asyncio.run(loop()) >= 3
