--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -22,7 +22,7 @@
 CANDIDATES = 2  # passing servers that are compared, at least
 EXAMINED = 12  # servers of the own zone, and of the others, that one decision looks at, at most
 MARGIN = 0.8  # the paper's tau
-GROUP_PULL = 0.05  # load by which a server that holds the connection's group is preferred: it costs less
+GROUP_PULL, GROUP_UNITS = 0.05, 3.0  # a server of the connection's group: preferred by so much load; pays less
 SPILL = 0.6  # load up to which the own zone, then settled servers, are filled first
 LOW_WORTH_CUT = 0.4  # part of the margin that a connection of no worth forgoes
 RATE_SPREAD = 4.0  # a server's r is believed up to so many times over or under the fleet's
@@ -417,7 +417,7 @@
         """The connection's load there: a server with none of its group pays for that anew."""
         group = connection.asked.group
         joins = not self._settings.groups or group is None or server.groups[group] > 0
-        return connection.units if joins else connection.units + 1.0
+        return connection.units if joins else connection.units + GROUP_UNITS
 
     def _pressure(self, server: Server, units: float) -> float:
         """r * (n + 1): the load to expect on the server with so much more on it."""
@@ -442,7 +442,7 @@
         if self._many:
             return gain * COLD_MANY, gain * COLD_MANY * settings.fall_us, settings.balancers
         # A part too small for one connection is no use: as many share it as get one in a window each.
-        owners = max(1, int(2 * gain * settings.fall_us / (1.0 + settings.groups)))
+        owners = max(1, int(2 * gain * settings.fall_us / (1.0 + GROUP_UNITS * settings.groups)))
         return gain, gain * settings.fall_us, min(settings.balancers, owners)
 
     def _cold_room(self, server: Server, connection: Connection) -> bool:
@@ -458,7 +458,7 @@
             most = 1.0 + COLD_SPAN_US * gain / owners  # beyond it the place has lapsed
             server.cold_credit = credit % 1.0 if credit > most else min(credit, 1.0 + credit % 1.0)
             return server.cold_credit >= 1.0
-        most = max(1.0 + self._settings.groups, window / owners)
+        most = max(1.0 + GROUP_UNITS * self._settings.groups, window / owners)
         server.cold_credit = min(most, server.cold_credit + since_us * gain / owners)
         # A heavy one may take the credit below zero, if a window has room.
         return server.cold_credit >= min(most, max(1.0, units)) and units <= max(most, window)
--- a/stoatgw/emulator/machine.py
+++ b/stoatgw/emulator/machine.py
@@ -19,7 +19,6 @@
 from stoatgw.emulator.scenario import Fleet, Kind, Module
 
 STEP_US = 25_000  # while work is piled up, its course is followed in steps of this length
-GROUP_COST = 1.0  # units that a server pays for each group of which it holds any
 COLD_SLACK = 3.0  # units sent to a cold server beyond its budget that may be chance
 SHED_TO = 0.9  # utilisation down to which a server that piles up too much drops its newest
 U_MOST = 0.98  # utilisation at which the tail of message times is as long as it gets
@@ -57,6 +56,7 @@
     cap: int
     message_s: float
     full_tax: float
+    group_cost: float
     buffer_s: float
     setup_s: tuple[float, float]  # of the whole machine's time
     probe_s: float
@@ -85,6 +85,7 @@
         cap=max(1, int(full * uniform(*fleet.cap))),
         message_s=float(uniform(*fleet.message)) * aim_s,
         full_tax=float(uniform(*fleet.full_tax)),
+        group_cost=fleet.group_cost,
         buffer_s=float(uniform(*fleet.buffer_s)),
         setup_s=(fleet.setup_ms[0] / 1e3 / power, fleet.setup_ms[1] / 1e3 / power),
         probe_s=float(uniform(*fleet.probe_ms)) / 1e3 / power,
@@ -146,7 +147,7 @@
     def utilisation(self) -> float:
         full = self.draw.full_units * self.share(self.now_us)
         table = 1.0 - self.draw.full_tax * min(1.0, len(self.held) / self.draw.cap)
-        return (self.sum_units + GROUP_COST * len(self.groups)) / (full * table)
+        return (self.sum_units + self.draw.group_cost * len(self.groups)) / (full * table)
 
     def wait_s(self) -> float:
         """What a message that comes now waits before its own work begins."""
@@ -258,7 +259,7 @@
 
     def expected_units(self, group: int | None) -> float:
         """What one more connection is expected to cost: itself, and its group where that is new here."""
-        return 1.0 if group is None or self.groups[group] > 0 else 1.0 + GROUP_COST
+        return 1.0 if group is None or self.groups[group] > 0 else 1.0 + self.draw.group_cost
 
     def cold_most(self, now_us: int) -> float:
         """Units that may be sent in a window of `fall_ms` while it is cold."""
@@ -300,7 +301,7 @@
         left = self.sum_units
         full = self.draw.full_units * self.share(now_us) * (1.0 - self.draw.full_tax)
         for held in reversed(self.held.values()):
-            if dropped and left + GROUP_COST * len(self.groups) <= SHED_TO * full:
+            if dropped and left + self.draw.group_cost * len(self.groups) <= SHED_TO * full:
                 break
             dropped.append(held)
             left -= held.units
--- a/stoatgw/emulator/realm.py
+++ b/stoatgw/emulator/realm.py
@@ -13,7 +13,7 @@
 from stoatgw.emulator.events import EventSink, What
 from stoatgw.emulator.kernel import Scheduler
 from stoatgw.emulator.ledger import Ledger
-from stoatgw.emulator.machine import GROUP_COST, Held, Life, Machine, draw
+from stoatgw.emulator.machine import Held, Life, Machine, draw
 from stoatgw.emulator.population import Population, draw_population
 from stoatgw.emulator.scenario import Kind, Scenario
 from stoatgw.emulator.streams import Streams
@@ -316,7 +316,7 @@
                 if name:
                     heapq.heappush(heap, (loads[name] / self.machines[name].draw.full_units, name))
                 _, name = heapq.heappop(heap)
-                loads[name] += GROUP_COST
+                loads[name] += self.scenario.fleet.group_cost
                 last, together = group, 0
             places[index] = name
             loads[name] += float(population.units[index])
--- a/stoatgw/emulator/scenario.py
+++ b/stoatgw/emulator/scenario.py
@@ -58,6 +58,7 @@
     cap: Range = (1.4, 1.9)  # connections held at most, as a multiple of those that fill it
     message: ShareRange = (0.03, 0.12)  # work of a message, as a part of the shortest aim
     full_tax: ShareRange = (0.16, 0.4)  # part of its capacity that a full table takes
+    group_cost: NotNegative = 1.0  # mean connections that a server pays for each group of which it holds any
     buffer_s: Range = (0.5, 3.0)  # piled-up work over which a server drops its newest connections
     setup_ms: Range = (3.1, 18.0)  # work of a set-up on a core of speed 1
     probe_ms: Range = (0.22, 0.44)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -607,3 +607,19 @@
         stand.report("b", 0.5, 50)
         stand.ask()
         assert (stand.sent_to() == "a") == left, sent_to
+
+
+def test_a_group_new_to_a_server_weighs_three_connections_there() -> None:
+    """At one deployment a group costs a server three mean connections, at another one; no setting tells which."""
+    stand = Stand(settings(groups=True))
+    stand.fleet(a=0, b=0)
+    stand.report("a", 0.50, 50)
+    stand.report("b", 0.70, 70)
+    stand.ask(group=7)
+    assert stand.sent_to() == "a"
+    stand.begin(f"{stand.asked:016x}", "a")
+    stand.period(2.0)
+    stand.report("a", 0.50, 50)  # 0.51 for one more of the group, 0.05 less for the pull
+    stand.report("b", 0.43, 43)  # 0.47 with the group's own load, 0.45 were it one connection
+    stand.ask(group=7)
+    assert stand.sent_to() == "a"
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -154,6 +154,12 @@
     assert fallen
 
 
+def test_it_pays_what_the_scenario_says_for_a_group() -> None:
+    server = machine(group_cost=3.0)
+    server.hold(0, Held("a", 0, 1.0, 7))
+    assert server.utilisation == pytest.approx(4.0 / 50, rel=0.01) and server.expected_units(8) == 4.0
+
+
 def test_it_pays_once_for_a_group_and_turns_away_over_its_cap() -> None:
     server = machine()
     server.hold(0, Held("a", 0, 1.0, 7))
