--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -24,7 +24,8 @@
 MARGIN = 0.8  # the paper's tau
 GROUP_PULL, GROUP_UNITS = 0.05, 3.0  # a group held already: preferred by so much load; one new weighs so many
 SPILL = 0.6  # load up to which the own zone, then settled servers, are filled first
-LOW_WORTH_CUT = 0.4  # part of the margin that a connection of no worth forgoes
+LOW_WORTH_CUT = 0.4  # part of the margin that a connection of no worth forgoes while the highest is refused;
+CUT_ALWAYS, SCARCE_KEPT = 0.5, 0.9  # so much of that at any time; part of the worth refused kept a period
 RATE_SPREAD = 4.0  # a server's r is believed up to so many times over or under the fleet's
 SHOWN_US = 700_000  # a report shows its server as it was so long before, at most
 NEWS_US = 1_500_000  # a delay note counts so long
@@ -38,7 +39,7 @@
 SETUPS_EACH = 16  # own set-ups under way at one server
 SETUPS_MIN, SETUPS_MAX, SETUPS_CUT = 2.0, 200.0, 0.7  # window of own set-ups; a failed one shrinks it
 EJECT_MOST = 4  # a failing server is left out for 1, 2, then so many periods
-COLD_CAUTION = 0.5  # used part of a cold server's budget; the rest covers what is not known
+COLD_CAUTION, COLD_GROUP = 0.5, 1.0  # used part of a cold server's budget; what it pays for a new group
 SETUP_US = 80_000  # work of a set-up, and half as much again: servers fell at 22 to 47 a second, none at 12
 TURNS_MOST, COLD_MANY = 8, 1.3  # more balancers than that use so many times the part, in a round
 COLD_SPAN_US = 8_000_000  # so long our place among many waits for a request of ours
@@ -141,8 +142,7 @@
         on = [server for server in self._servers.values() if server.entry.lifecycle is Lifecycle.ON]
         self._random.shuffle(on)
         zone, cold = self._settings.zone, [server for server in on if self._share(server) < 1.0]
-        settled = [server for server in on if self._share(server) >= 1.0]
-        self._fleet.ready = on
+        settled, self._fleet.ready = [server for server in on if self._share(server) >= 1.0], on
         self._fleet.near = [server for server in settled if server.entry.zone == zone]
         self._fleet.far = [server for server in settled if server.entry.zone != zone]
         self._fleet.filling = [server for server in cold if server.turn < self._cold_budget(server)[2]]
@@ -156,6 +156,7 @@
             self._actions.append(api.Subscribe(True))
         self._own.arrivals += (self._own.arrived - self._own.arrivals) * (0.2 if self._own.arrivals else 1.0)
         self._own.placed, self._own.arrived = [0.0, self._own.placed[0]], 0
+        self._own.scarce *= SCARCE_KEPT
         loads, counts = dict[int, float](), dict[int, float]()  # nearly empty servers hardly count
         for server in self._servers.values():
             if server.lookback and server.probed:
@@ -176,14 +177,13 @@
 
     def _probe_some(self, least_us: int = 0) -> None:
         """Probe those asked longest ago, and so long ago, the own zone more often, as the price allows."""
-        # Every balancer asking every server each period once cost more than half of the service.
         settings, ages = self._settings, dict[str, float]()
         for server in self._fleet.ready:
             if self._now_us - server.asked_us < least_us:
                 continue
             times = OWN_ZONE_FAVOUR if server.entry.zone == settings.zone else 1.0
             ages[server.entry.server] = times * (self._now_us - server.asked_us) * self._random.uniform(1, 3)
-        count = int(self._own.probes_due) if settings.can_probe else 0
+        count = int(self._own.probes_due) * settings.can_probe
         for name in sorted(ages, key=lambda name: -ages[name])[:count]:
             self._servers[name].asked_us = self._now_us
             self._own.probes_due -= 1.0
@@ -355,10 +355,8 @@
                 server.ejected_until_us = self._now_us + EJECT_MOST * PERIOD_US
             if event.status not in NEVER_RAN and connection.first_run is None:
                 connection.first_run = (server.entry, connection.sent_us)
-        if event.final or connection.standing or connection.abandoned:
-            self._end(connection)
-        else:
-            self._place(connection)
+        over = event.final or connection.standing or connection.abandoned
+        (self._end if over else self._place)(connection)
 
     def _judge(self, server: Server, status: Status) -> None:
         """Eject a server whose set-ups fail: probes may pass on a server that answers nothing."""
@@ -417,7 +415,8 @@
         """The connection's load there: a server with none of its group pays for that anew."""
         group = connection.asked.group
         joins = not self._settings.groups or group is None or server.groups[group] > 0
-        return connection.units if joins else connection.units + GROUP_UNITS
+        new = GROUP_UNITS if self._share(server) >= 1.0 else COLD_GROUP
+        return connection.units if joins else connection.units + new
 
     def _pressure(self, server: Server, units: float) -> float:
         """r * (n + 1): the load to expect on the server with so much more on it."""
@@ -442,7 +441,7 @@
         if self._many:
             return gain * COLD_MANY, gain * COLD_MANY * settings.fall_us, settings.balancers
         # A part too small for one connection is no use: as many share it as get one in a window each.
-        owners = max(1, int(2 * gain * settings.fall_us / (1.0 + GROUP_UNITS * settings.groups)))
+        owners = max(1, int(2 * gain * settings.fall_us / (1.0 + COLD_GROUP * settings.groups)))
         return gain, gain * settings.fall_us, min(settings.balancers, owners)
 
     def _cold_room(self, server: Server, connection: Connection) -> bool:
@@ -458,7 +457,7 @@
             most = 1.0 + COLD_SPAN_US * gain / owners  # beyond it the place has lapsed
             server.cold_credit = credit % 1.0 if credit > most else min(credit, 1.0 + credit % 1.0)
             return server.cold_credit >= 1.0
-        most = max(1.0 + GROUP_UNITS * self._settings.groups, window / owners)
+        most = max(1.0 + COLD_GROUP * self._settings.groups, window / owners)
         server.cold_credit = min(most, server.cold_credit + since_us * gain / owners)
         # A heavy one may take the credit below zero, if a window has room.
         return server.cold_credit >= min(most, max(1.0, units)) and units <= max(most, window)
@@ -485,8 +484,7 @@
         """The best of a few ready servers that pass the admission test, own zone first."""
         # All balancers see the same late picture: if each took the lowest, all would take the same.
         wanted = max(CANDIDATES, len(self._fleet.ready) // self._settings.balancers)
-        best, best_key = None, (True, True, True, float("inf"))
-        known = self._fleet.rate is not None
+        best, best_key, known = None, (True, True, True, float("inf")), self._fleet.rate is not None
         # Those just started are few for each balancer, and a random draw would hardly ever meet them.
         for servers in (self._fleet.filling, self._fleet.near, self._fleet.far):
             found, first = 0, int(self._random.random() * len(servers))
@@ -522,8 +520,9 @@
         tries_left = min(TRIES, settings.max_attempts) - len(connection.tried)
         wait_us = connection.deadline_us - 2 * settings.granularity_us - GUARD_US - self._now_us
         if tries_left > 0 and wait_us > 0 and self._own.under_way < self._own.window:
-            margin = MARGIN * (1.0 - LOW_WORTH_CUT * (1.0 - self._worth(connection)))
-            server = self._choose(connection, margin)
+            worth = self._worth(connection)
+            below = max(min(CUT_ALWAYS, 1.0 - worth), self._own.scarce - worth)
+            server = self._choose(connection, MARGIN * (1.0 - LOW_WORTH_CUT * below))
         if server is None:
             return self._give_up(connection)
         connection.tried.append(server.entry.server)
@@ -539,6 +538,7 @@
         """The final answer: a refusal where a repeat is known to be harmless, else a failure."""
         settings, asked = self._settings, connection.asked
         profile = settings.profiles[asked.profile]
+        self._own.scarce = max(self._own.scarce, self._worth(connection))
         dedup = profile.idempotency is Idempotency.DEDUP and profile.key_scope is KeyScope.ALL
         if connection.first_run is None or dedup or profile.idempotency is Idempotency.RETRYABLE:
             after_us = min(PERIOD_US, settings.max_retry_after_us) * settings.can_advise_retry_after
--- a/stoatgw/decisions/records.py
+++ b/stoatgw/decisions/records.py
@@ -97,6 +97,7 @@
     probes_due: float
     window: float  # how many set-ups may be under way
     under_way: int = 0
+    scarce: float = 0.0  # highest worth that was refused lately, fading
     arrived: int = 0  # first tries in this period
     arrivals: float = 0.0  # and in a mean one
     placed: list[float] = field(default_factory=lambda: [0.0, 0.0])  # net, this period and the last
