A silent watch is given up after 4.5 s: its news counts as told at 6 s, with a grace of 0.75 s here

Here the grace is 0.75 s, of which 0.1 s is kept as guard; a connect may take 1 s alone. To blame: SILENT_S in director.py, and no limit of its own for the first answer. Ruled out: the module and Backend.may_send, which count from when the list tells, in both. Change: silence of more than two of the lines that come every 2 s; a first answer within 2.5 s (a call fails after 2 s). The fix rests on the arithmetic and its test.

--- a/stoatgw/director/director.py
+++ b/stoatgw/director/director.py
@@ -22,7 +22,10 @@
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
-SILENT_S = 6.0  # a watch brings a line every 2 s: one that is silent for so long is dead
+# A watch brings a line every 2 s, and what it kept back counts as told after 6 s: one that is silent for two lines
+# and more is dead, and a new one has answered by then, also where the drain's grace after that is short.
+SILENT_S = 4.5
+ANSWER_S = 2.5  # discovery answers or turns away a call within 2 s
 CONNECT_S = 1.0
 
 
@@ -122,7 +125,7 @@
                 host = f"Host: {self._address.host}:{self._address.port}\r\n\r\n"
                 await loop.sock_sendall(sock, (target + host).encode())
             while not http.done:
-                async with asyncio.timeout(SILENT_S):
+                async with asyncio.timeout(SILENT_S if heard else ANSWER_S):
                     count = await loop.sock_recv_into(sock, buffer)
                 if not count:
                     break
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import itertools
 import json
 import socket
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import orjson
@@ -15,11 +17,16 @@
 from hypothesis import strategies as st
 
 from stoatgw.backends.backend import GRACE_GUARD_US, Backends
-from stoatgw.config.deployment import ConfigError, Deployment, read
+from stoatgw.config.deployment import Address, ConfigError, Deployment, read
 from stoatgw.decisions.interface import Lifecycle
+from stoatgw.director import director as watching
+from stoatgw.director.backoff import Backoff
 from stoatgw.director.http import HttpError, HttpLines
 from stoatgw.director.list import ListError, ListReader
+from stoatgw.owner.clock import Clock
 from stoatgw.service import main
+from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import EventLog
 
 FIXED = settings(derandomize=True, deadline=None, max_examples=150)
 READER = ListReader(("a", "b"), ("m1", "m2"))
@@ -144,3 +151,50 @@
         monkeypatch.setenv("LB_CONFIG", str(path))
         assert main() == 2
     assert capsys.readouterr().err.startswith("stoatgw: listen: ")
+
+
+def test_a_silent_watch_is_replaced_before_its_news_counts_as_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What a dead watch keeps back counts as told after 6 s; a grace of 0.75 s covers no more than the answer's way."""
+    spans: list[float] = []
+    timeout = asyncio.timeout
+
+    def scaled(span_s: float | None) -> asyncio.Timeout:
+        spans.append(span_s or 0.0)
+        return timeout(None if span_s is None else span_s / 50)
+
+    async def play() -> list[bytes]:
+        asked: list[bytes] = []
+        both = asyncio.Event()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(await reader.readuntil(b"\r\n\r\n"))
+            if len(asked) == 2:
+                both.set()
+            body = json.dumps(page(entry())).encode() + b"\n"
+            writer.write(HEAD + b"%x\r\n%s\r\n" % (len(body), body))
+            with contextlib.suppress(ConnectionError):
+                await reader.read()  # and nothing more, until the watch is given up
+            writer.close()
+
+        server = await asyncio.start_server(discovery, "127.0.0.1", 0)
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        log, counters = EventLog("n0"), Counters()
+        owner = type("Sink", (), {"put": lambda self, message: None})()
+        director = watching.Director(
+            address, READER, Backends(), owner, Clock(), lambda backend: None, log, counters, Backoff(3, Random(1))
+        )
+        task = asyncio.create_task(director.run())
+        await both.wait()
+        task.cancel()
+        await asyncio.wait([task])
+        server.close()
+        await server.wait_closed()
+        await asyncio.sleep(0.05)
+        return asked
+
+    monkeypatch.setattr(asyncio, "timeout", scaled)
+    assert len(asyncio.run(play())) == 2
+    # Connecting, the first answer, then silence; what comes next is the pause and a new connect.
+    _, _, silent_s, *_ = [span for span in spans if span]
+    assert silent_s > 2 * 2.0  # two lines missed
+    assert silent_s + Backoff(3, Random(1)).next_s() + watching.CONNECT_S <= 6.0
