The tenant that a client's line names reaches the decisions; all counted as the first

Change: the field t, by the settings' names; one that they do not name has no quota and uses up none.

--- a/stoatgw/clients/house.py
+++ b/stoatgw/clients/house.py
@@ -68,12 +68,14 @@
     standing: dict[str, Standing] = field(default_factory=dict)
     course: Course = field(default_factory=Course)
     classes: dict[str, int] = field(default_factory=dict)
+    tenants: dict[str, int] = field(default_factory=dict)
     figures: Figures = field(init=False)
 
     def __post_init__(self) -> None:
         self.classes = {
             profile.name: index for index, profile in enumerate(self.deployment.settings.profiles)
         }
+        self.tenants = {name: index for index, name in enumerate(self.deployment.settings.tenants)}
         self.figures = Figures(self.classes)
 
     @property
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -166,6 +166,8 @@
             request=opened.request,
             profile=self._house.classes[opened.profile],
             patience_left_us=opened.wait_ms * 1000,
+            # One that the settings do not name has no quota: it may not use up that of another.
+            tenant=self._house.tenants.get(opened.tenant, len(self._house.tenants)),
             key=opened.key,
             group=opened.group if self._house.deployment.settings.groups else None,
             hint_us=opened.hint,
--- a/stoatgw/config/settings.py
+++ b/stoatgw/config/settings.py
@@ -109,6 +109,9 @@
         pass_mode=get("domain.mode", str, "proxy") == "pass",
         park_us=get("domain.park_us", integer, 0),
         groups=get("domain.groups", _read_bool, False),
+        tenants=tuple(
+            get(f"tenants.{index}.name", str, "") for index in range(get("tenants.count", integer, 0))
+        ),
         over_share_worth=get("over_share_worth", _read_number, 1.0),
         tenant_quota_connections=get("domain.tenant_quota_connections", numbers, no_numbers),
         report_columns=() if via == "off" else get("report.columns", words, ()),
--- a/stoatgw/decisions/interface.py
+++ b/stoatgw/decisions/interface.py
@@ -104,6 +104,7 @@
     park_us: int = 0
     groups: bool = False
     over_share_worth: float = 1.0
+    tenants: tuple[str, ...] = ()  # by name, as clients' lines tell them; the same order as the quotas
     tenant_quota_connections: tuple[float, ...] = ()
     report_columns: tuple[str, ...] = ()
     answer_slack_us: int = 0
--- a/stoatgw/lines/grammar.py
+++ b/stoatgw/lines/grammar.py
@@ -39,6 +39,7 @@
     retry: bool
     again: bool
     at: str | None
+    tenant: str = ""  # "": the line names none
 
     def forwarded(self, wait_ms: int) -> bytes:
         """The line for a session server: the client's own, but for `d`."""
@@ -87,6 +88,7 @@
         retry=text.get("r") == "1",
         again=text.get("again") == "1",
         at=text.get("at"),
+        tenant=text.get("t", ""),
     )
 
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -86,6 +86,12 @@
     assert isinstance(read_open(line), Malformed)
 
 
+def test_the_tenant_is_read_by_name_and_may_be_missing() -> None:
+    named, bare = read_open(LINE + b",t=sabah"), read_open(LINE)
+    assert isinstance(named, Open) and isinstance(bare, Open)
+    assert (named.tenant, bare.tenant) == ("sabah", "")
+
+
 def test_replies() -> None:
     assert read_reply(b"UP 77f").word is Word.UP
     assert read_reply(b"BUSY inflight=7,util=0.61").report == {"inflight": 7, "util": 0.61}
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -21,7 +21,7 @@
 from stoatgw.config.deployment import Address, read
 from stoatgw.decisions.interface import ListKind, ListUpdate, NoteKind, Request, ServerEntry
 from stoatgw.owner.clock import Clock
-from stoatgw.owner.messages import Drain, Heard, Listed, Message, Req
+from stoatgw.owner.messages import Arrived, Drain, Heard, Listed, Message, Req
 from stoatgw.owner.owner import Owner
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
@@ -372,6 +372,31 @@
     play(serve, test)
 
 
+def test_the_tenant_of_a_line_reaches_the_decisions_and_one_unnamed_uses_up_no_quota() -> None:
+    # Guards against all clients counted as the first tenant: with quotas, each proxy took nearly all for worthless.
+    async def test(proxy: Proxy) -> None:
+        asked: list[int] = []
+        put = proxy.owner.put
+
+        def listen(message: Message) -> None:
+            if isinstance(message, Arrived):
+                asked.append(message.req.asked.tenant)
+            put(message)
+
+        proxy.owner.put = listen  # type: ignore[method-assign]
+        tenants = [{"name": "selangor"}, {"name": "johor"}]
+        proxy.house.deployment = read(CONFIG | {"settings": CONFIG["settings"] | {"tenants": tenants}})
+        proxy.house.__post_init__()
+        for more in (b",t=johor", b",t=selangor", b",t=other", b""):
+            reader, writer = await proxy.ask(more)
+            assert await reader.readline() == b"UP 77\r\n"
+            writer.close()
+        assert asked == [1, 0, 2, 2]
+        await proxy.settle()
+
+    play(echo, test)
+
+
 def test_no_attempt_is_made_for_a_client_that_has_gone() -> None:
     """Its line and its end are read before the owner's turn, as after a freeze: nothing may run for nobody."""
 
