--- a/stoatgw/emulator/loopback/driver.py
+++ b/stoatgw/emulator/loopback/driver.py
@@ -31,6 +31,7 @@
 BASE = 60  # the addresses are 127.60.x.x and up
 AFTER_S = 4.0  # after the last arrival, until all is answered
 STAND_S = 40.0
+KILL_S = 3.7  # after SIGTERM, at the soonest where the longest deadline is 3 s or more
 NEWCOMERS_S = (0.2, 0.4)
 FAULTS = (
     "decision_fault", "recovery_failed", "session_fault", "fetch_fault", "task_ended", "watch_over_sessions_fault",
@@ -296,7 +297,7 @@
         shut_us = self.scheduler.now_us() + int(self.front.between(*NEWCOMERS_S) * 1e6)
         self.scheduler.at(shut_us, partial(self._shut, proxy))
         back_s = self.front.between(*realm.scenario.proxies.restart_s)
-        if not await there.stopped(3.0):
+        if not await there.stopped(KILL_S):
             realm.log(What.NOTE, there.name, detail="did not stop in time after SIGTERM")
         await asyncio.sleep(0.05)  # what it sent last may still be on its way to the clients
         self._down.add(proxy)
--- a/stoatgw/emulator/virtual.py
+++ b/stoatgw/emulator/virtual.py
@@ -33,8 +33,9 @@
 from stoatgw.emulator.realm import Realm, Told, Uniforms
 from stoatgw.emulator.scenario import Scenario
 from stoatgw.owner.clock import Clock
-from stoatgw.owner.messages import Drain, Heard, Listed, Probed, Stood
+from stoatgw.owner.messages import Heard, Listed, Probed, Stood
 from stoatgw.owner.owner import Module, Owner
+from stoatgw.owner.stopping import stopping
 from stoatgw.rebalance.mover import Rebalancer
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
@@ -46,7 +47,7 @@
 PROBE_LIMIT_US = 500_000
 STATES = {"SERVING": Lifecycle.ON, "DRAINING": Lifecycle.FADING, "DELETED": Lifecycle.OFF}
 NEWCOMERS_US = (200_000, 400_000)  # after SIGTERM the front still sends newcomers for so long
-DRAIN_LEAST_US, DRAIN_MOST_US, DRAIN_LOOK_US = 1_000_000, 2_500_000, 20_000
+DRAIN_LOOK_US = 20_000
 WATCH_AGAIN_US = 100_000  # a proxy that lost its watch has it again so soon
 ADMIT_US = 100_000  # the front finds a proxy ready so long after its start
 
@@ -264,9 +265,10 @@
             return
         realm.log(What.PROXY, there.name, detail="draining")
         there.draining = True
-        there.loop.deliver(partial(there.owner.put, Drain()))
+        end = stopping(there.settings, handed_over=False)
+        there.loop.deliver(partial(there.owner.put, end.drain))
         self.kernel.at(now_us + int(self.front.between(*NEWCOMERS_US)), partial(self._shut, proxy))
-        self.kernel.at(now_us + DRAIN_LEAST_US, partial(self._look_for_end, there, now_us + DRAIN_MOST_US))
+        self.kernel.at(now_us + end.least_us, partial(self._look_for_end, there, now_us + end.most_us))
 
     def _shut(self, proxy: int) -> None:
         self.admitted[proxy] = False
--- a/stoatgw/owner/messages.py
+++ b/stoatgw/owner/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
@@ -157,9 +157,9 @@
 class Drain:
     """The proxy is asked to stop: once no newcomers come any more, all are moved one by one."""
 
-    newcomers_us: int = field(default=400_000)  # they come for so long
-    over_us: int = field(default=1_200_000)
-    serve_us: int = field(default=0)  # who comes or waits is served for so long, and moved then; 0: refused
+    newcomers_us: int  # they come for so long
+    over_us: int  # and those who stand are moved over so long after that
+    serve_us: int = 0  # who comes or waits is served for so long, and moved then; 0: refused
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -27,8 +27,9 @@
 from stoatgw.director.director import Director
 from stoatgw.director.list import ListReader
 from stoatgw.owner.clock import Clock
-from stoatgw.owner.messages import Drain, Mover
+from stoatgw.owner.messages import Mover
 from stoatgw.owner.owner import Owner
+from stoatgw.owner.stopping import stopping
 from stoatgw.suspension.overlay import Overlay
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
@@ -37,9 +38,6 @@
     from stoatgw.config.operators import Operators
 
 CALLERS_KEPT = 36  # descriptors of the second address, where there is one: its callers and its listener
-# A handover: the kill comes 0.7 s after the longest deadline, counted as 3 s at most.
-LONGEST_US, HANDOVER_S, HANDOVER_FIRST_US, HANDOVER_OVER_US = 3_000_000, 0.4, 50_000, 1_600_000
-DRAIN_LEAST_S, DRAIN_MOST_S = 1.0, 2.5  # newcomers come for 0.4 s more; killed after 2.7 s at the soonest
 
 
 class Backstage:
@@ -175,17 +173,13 @@
     handed = beside is not None and beside.taken_over()
     log.event("draining", open=listener.open, handed_over=handed)
     house.course.stop(handed_over=handed)
-    least_s, most_s, drain = DRAIN_LEAST_S, DRAIN_MOST_S, Drain()
     if handed:
         # Nobody comes here any more: the other process answers them. Those that came are served, then moved.
         listener.accept(False)
-        longest_us = min(LONGEST_US, max(profile.deadline_us for profile in settings.profiles))
-        least_s, most_s = 0.0, longest_us / 1e6 + HANDOVER_S
-        drain = Drain(HANDOVER_FIRST_US, HANDOVER_OVER_US, longest_us)
-    owner.put(drain)
-    began = clock.now_us()
-    while (passed := (clock.now_us() - began) / 1e6) < most_s:
-        if passed >= least_s and not listener.open:
+    end, began = stopping(settings, handed_over=handed), clock.now_us()
+    owner.put(end.drain)
+    while (passed_us := clock.now_us() - began) < end.most_us:
+        if passed_us >= end.least_us and not listener.open:
             break
         await asyncio.sleep(0.02)
     if beside is not None:
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stoatgw.decisions.interface import Event, ListKind, ListUpdate, Request, ServerEntry, Status
+from stoatgw.decisions.interface import Event, ListKind, ListUpdate, Profile, Request, ServerEntry, Status
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.course import Course, Stage
 from stoatgw.owner.messages import (
@@ -30,6 +30,7 @@
 )
 from stoatgw.owner.messages import Stage as FetchStage
 from stoatgw.owner.owner import Owner
+from stoatgw.owner.stopping import stopping
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 from tests.fleet import settings
@@ -171,6 +172,18 @@
     drive(play)
 
 
+@pytest.mark.parametrize("deadline_us", [500_000, 2_000_000, 3_200_000])
+@pytest.mark.parametrize("handed_over", [True, False])
+def test_a_stop_uses_its_time_and_is_over_before_the_kill(deadline_us: int, handed_over: bool) -> None:
+    """The kill comes 0.7 s after the longest deadline, which counts as 3 s at most."""
+    plan = stopping(settings(profiles=(Profile(500_000, deadline_us),)), handed_over=handed_over)
+    kill_us, last_us = min(3_000_000, deadline_us) + 700_000, plan.drain.newcomers_us + plan.drain.over_us
+    assert last_us + 400_000 < kill_us and last_us <= plan.most_us < kill_us
+    if not handed_over:
+        # Moved within a second, all clients of a proxy came to its peers between two reports.
+        assert plan.drain.newcomers_us >= 400_000 and last_us >= kill_us - 800_000
+
+
 def test_nobody_is_moved_while_newcomers_still_come_here() -> None:
     # Guards against clients moved at once, who came back to the proxy that leaves and were refused.
     async def play(stand: Stand) -> None:
