--- a/stoatgw/decisions/records.py
+++ b/stoatgw/decisions/records.py
@@ -98,6 +98,7 @@
     window: float  # how many set-ups may be under way
     under_way: int = 0
     scarce: float = 0.0  # highest worth that was refused lately, fading
+    part: float = 0.0  # of the fleet's connections: how much of a tenant's quota is ours
     arrived: int = 0  # first tries in this period
     arrivals: float = 0.0  # and in a mean one
     placed: list[float] = field(default_factory=lambda: [0.0, 0.0])  # net, this period and the last
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -323,7 +323,8 @@
         else:
             self._answer_waiting()
         for place, req in enumerate(standing):
-            after_us = drain.newcomers_us + drain.over_us * place / len(standing)
+            # Ever faster: who is moved late is served the longer, and a peer that restarted just before is back.
+            after_us = drain.newcomers_us + drain.over_us * (place / len(standing)) ** 0.5
             self._moves.append(loop.call_later(after_us / 1e6, self.put, SendAway(req)))
 
     def _answer_waiting(self) -> None:
--- a/stoatgw/owner/stopping.py
+++ b/stoatgw/owner/stopping.py
@@ -9,6 +9,7 @@
 
 LONGEST_US = 3_000_000  # the longest deadline counts as so much at most; the kill comes 0.7 s after it
 NEWCOMERS_US = 400_000  # new clients are led here for so long after SIGTERM
+SERVE_US = 800_000  # who comes or waits is served for so long: newcomers, and some who were slow to ask
 HANDOVER_FIRST_US, HANDOVER_OVER_US = 50_000, 1_600_000
 LEAST_US = 1_000_000  # a plain stop answers newcomers for so long, though nobody stands
 
@@ -26,11 +27,12 @@
     """What to do on SIGTERM. `handed_over`: another process of this proxy takes the clients from now on.
 
     A plain stop takes nearly all of its time. Those who stand are served until their turn; moved in a second, all
-    of a proxy's clients came to its peers between two reports, and most of them were refused.
+    of a proxy's clients came to its peers between two reports, and most of them were refused. Newcomers are served
+    too, and moved with the others: refused, they would use up their tries while they are still led here.
     """
     longest_us = min(LONGEST_US, max(profile.deadline_us for profile in settings.profiles))
     if handed_over:
         over_us = min(HANDOVER_OVER_US, max(0, longest_us - HANDOVER_FIRST_US))
         return Stopping(Drain(HANDOVER_FIRST_US, over_us, longest_us), 0, longest_us + 400_000)
-    drain = Drain(NEWCOMERS_US, max(0, longest_us - NEWCOMERS_US), 0)
+    drain = Drain(NEWCOMERS_US, max(0, longest_us - NEWCOMERS_US), SERVE_US)
     return Stopping(drain, LEAST_US, max(LEAST_US, longest_us + 500_000))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -18,6 +18,7 @@
     Send,
     ServerEntry,
     Status,
+    TimerDue,
 )
 from tests.fleet import SECOND, T0, Stand, drain, settings
 
@@ -77,6 +78,21 @@
     assert stand.sent_to() == "a"
 
 
+@pytest.mark.parametrize(("held", "admitted"), [(3, True), (12, False)])
+def test_a_share_is_divided_by_who_holds_what_not_evenly(held: int, admitted: bool) -> None:
+    # Guards against a proxy whose peer is away: it holds all, and took most of it for beyond the tenants' shares.
+    stand = Stand(settings(balancers=2, tenant_quota_connections=(5.0, 100.0), over_share_worth=0.1))
+    stand.fleet(a=0)
+    for _ in range(3):
+        stand.ask(tenant=0)
+    stand.report("a", 0.02 * held, held)  # ours are all, or a quarter, of what is there
+    stand.event(TimerDue(0))
+    stand.now_us += SECOND
+    stand.report("a", 0.66, 33)  # with one more 0.68: under the margin, over that of low worth
+    stand.ask(tenant=0)
+    assert (stand.sent_to() == "a") is admitted
+
+
 def test_own_zone_up_to_the_spill_load_then_across_then_refuse() -> None:
     stand = Stand()
     stand.fleet(near=0, far=1)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -184,6 +184,32 @@
         assert plan.drain.newcomers_us >= 400_000 and last_us >= kill_us - 800_000
 
 
+def test_those_who_stand_are_moved_ever_faster_and_who_comes_at_first_is_served() -> None:
+    """Who is moved late is served the longer; who still comes is not refused three times and lost."""
+
+    async def play(stand: Stand) -> None:
+        await stand.servers("a", "b")
+        standing = [stand.req() for _ in range(100)]
+        await stand.take(*(Stood(req, "a") for req, _ in standing))
+        end = stopping(settings(), handed_over=False).drain
+        waits = []
+        loop = asyncio.get_running_loop()
+        later = loop.call_later
+        loop.call_later = lambda delay, *rest: waits.append(delay) or later(delay, *rest)  # type: ignore
+        (comes, door) = stand.req()
+        try:
+            await stand.take(end, Arrived(comes))
+        finally:
+            loop.call_later = later  # type: ignore[method-assign]
+        moves = waits[1:101]
+        first, last = end.newcomers_us / 1e6, (end.newcomers_us + end.over_us) / 1e6
+        assert moves == sorted(moves) and moves[0] == first and moves[-1] < last
+        assert sum(move < (first + last) / 2 for move in moves) <= 25
+        assert [each[0] for each in door.told] == ["fetch"]
+
+    drive(play)
+
+
 def test_nobody_is_moved_while_newcomers_still_come_here() -> None:
     # Guards against clients moved at once, who came back to the proxy that leaves and were refused.
     async def play(stand: Stand) -> None:
