--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -19,7 +19,7 @@
 PROBE_SPEND = 0.01  # part of the service that probing may cost
 PROBES_FIRST, PROBES_LEAST = 8, 0.25  # probes at the start, and a period where no client comes
 OWN_ZONE_FAVOUR = 3.0  # the own zone is probed so many times as often
-CANDIDATES, EXAMINED = 2, 12  # passing servers compared, at least; looked at in the own zone, and elsewhere, at most
+CANDIDATES, EXAMINED = 2, 12  # passing servers compared, at least; looked at of each zone, at most
 MARGIN = 0.8  # the paper's tau
 GROUP_PULL, GROUP_UNITS = 0.05, 3.0  # a group held already: preferred by so much load; one new weighs so many
 SPILL = 0.6  # load up to which the own zone, then settled servers, are filled first
@@ -41,7 +41,7 @@
 SETUP_US = 80_000  # work of a set-up, and half as much again: servers fell at 22 to 47 a second, none at 12
 TURNS_MOST, COLD_MANY = 8, 1.3  # more balancers than that use so many times the part, in a round
 COLD_SPAN_US = 8_000_000  # so long our place among many waits for a request of ours
-DOUBT_US, TOLD_US = 5_000_000, 8_000_000  # a silent server puts its zone in doubt; the list tells of a restart seen
+DOUBT_US, TOLD_US = 5_000_000, 8_000_000  # a silent one puts its zone in doubt; a restart seen is told
 LOG_EVERY_US = 10_000_000  # each kind of log line at most so often
 
 LOST = (Status.DIAL_FAILED, Status.EXPIRED, Status.DROPPED)
@@ -168,7 +168,7 @@
             self._fleet.kind_rates = {kind: loads[kind] / counts[kind] for kind in counts}
             self._fleet.rate = sum(loads.values()) / sum(counts.values())
         held = sum(server.probed or 0.0 for server in self._fleet.ready)  # while a peer is away much is ours
-        self._own.part = min(1.0, max(1.0 / self._settings.balancers, len(self._connections) / max(1.0, held)))
+        self._own.part = min(1.0, max(1 / self._settings.balancers, len(self._connections) / max(1.0, held)))
         price, most = self._settings.probe_price, float(max(PROBES_FIRST, len(self._fleet.ready)))
         due = self._own.arrivals * PROBE_SPEND / price if price > 0 else most
         self._own.probes_due = min(most, self._own.probes_due + max(PROBES_LEAST, due))
