A rolling maintenance that proxies settle among themselves, by leases, fencing and one ledger

Need: processes fail together, and machines taken out by hand or script can be too many at once. One proxy holds the duty under a lease of an engine that users run (etcd's HTTP/JSON interface) and writes the next step; each write is compared with the duty's token and the ledger as it was read. Off without the operators' file. Bans by hand and by plan go one way (suspension/outs).

--- a/stoatgw/cli/lab.py
+++ b/stoatgw/cli/lab.py
@@ -175,3 +175,17 @@
 
     for line in measure(seconds, rounds, clients, standing, out):
         click.echo(line)
+
+
+@lab.command()
+@click.option("--servers", type=click.IntRange(2, 200), default=20, show_default=True)
+@click.option("--out-most", "bounds", multiple=True, type=click.IntRange(1, 100), default=(1, 2, 4, 8))
+@click.option("--repeats", type=click.IntRange(1, 50), default=3, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), required=True)
+@_one_line
+def upkeep(servers: int, bounds: tuple[int, ...], repeats: int, out: Path) -> None:
+    """Real proxies settle a rolling maintenance among themselves: how long it takes, as a table and a chart."""
+    from stoatgw.lab.upkeep import measure
+
+    for line in measure(servers, bounds, repeats, out):
+        click.echo(line)
--- a/stoatgw/cli/main.py
+++ b/stoatgw/cli/main.py
@@ -15,6 +15,7 @@
 
 from stoatgw import __version__
 from stoatgw.cli.lab import lab
+from stoatgw.cli.maintain import maintain
 from stoatgw.config.deployment import ConfigError
 
 
@@ -58,6 +59,7 @@
 
 
 stoatgw.add_command(lab)
+stoatgw.add_command(maintain)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/stoatgw/config/operators.py
+++ b/stoatgw/config/operators.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from stoatgw.config.deployment import ConfigError
+from stoatgw.config.maintenance import Plan
+from stoatgw.config.membership import Membership
 from stoatgw.config.toml import TomlError, convert, load_toml
 from stoatgw.rebalance.limits import Limits
 
@@ -18,11 +20,18 @@
 class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     version: Literal[1]
     rebalance: Limits = Limits()
+    membership: Membership | None = None
+    maintenance: Plan | None = None
+
+    def __post_init__(self) -> None:
+        if self.maintenance is not None and self.membership is None:
+            raise ValueError("membership: missing, and maintenance needs an engine to settle its order by")
 
 
 def load_operators(path: str) -> Operators:
     """Raises ConfigError."""
-    names = (*Operators.__struct_fields__, *Limits.__struct_fields__)
+    kinds = (Operators, Limits, Membership, Plan)
+    names = [name for kind in kinds for name in kind.__struct_fields__]
     try:
         return convert(load_toml(Path(path)), Operators, path, names)
     except TomlError as fault:
--- a/stoatgw/director/director.py
+++ b/stoatgw/director/director.py
@@ -59,6 +59,10 @@
     def lists(self, name: str) -> bool:
         return name in self._rows
 
+    def entries(self) -> list[ServerEntry]:
+        """The list as discovery tells it, without what is laid over it."""
+        return [entry for entry, _, _ in self._rows.values()]
+
     def known(self, data: Any) -> None:
         """Take the last copy, which may be old."""
         if data is not None:
--- a/stoatgw/lab/charts.py
+++ b/stoatgw/lab/charts.py
@@ -190,3 +190,18 @@
         axes.set(xlabel=name, ylim=(0, None))
     np.atleast_1d(pictures)[0].set_ylabel("wall s a simulated s")
     return _save(figure, path)
+
+
+def draw_upkeep(rows: list[dict[str, Any]], path: Path) -> Path:
+    """Seconds of a whole maintenance by how many machines may be out, with and without a proxy killed."""
+    figure, axes = plt.subplots(figsize=(7, 4))
+    for killed, label in ((0, "no fault"), (1, "the proxy that leads is killed halfway")):
+        picked = [row for row in rows if row["killed"] == killed]
+        at = [row["out_most"] for row in picked]
+        middle = np.array([row["median_s"] for row in picked])
+        spread = [middle - [row["least_s"] for row in picked], np.array([row["most_s"] for row in picked]) - middle]
+        axes.errorbar(at, middle, yerr=spread, marker="o", capsize=4, label=label)
+    axes.set(xlabel="out_most: session servers out at once", ylabel="seconds", ylim=(0, None))
+    axes.set_title(f"A rolling maintenance of {rows[0]['servers']} session servers")
+    axes.legend()
+    return _save(figure, path)
--- /dev/null
+++ b/stoatgw/maintenance/ledger.py
@@ -0,0 +1,69 @@
+"""What a maintenance has done so far: a value, kept whole under one key of the engine. Pure.
+
+One key, because one comparison then guards all of it: nobody writes without having seen the last write.
+"""
+
+from __future__ import annotations
+
+import zlib
+from enum import Enum
+
+import msgspec
+
+HEAD = b"stoatgw-maintenance 1 "  # its version; the checksum of the rest follows
+BYTES_MOST = 1 << 20
+
+
+class LedgerError(ValueError):
+    """The bytes are no ledger of ours."""
+
+
+class State(Enum):
+    OUT = "out"
+    DONE = "done"
+    LATE = "late"  # its time ran out
+    RELEASED = "released"  # the maintenance was aborted while it was out
+
+
+class Step(msgspec.Struct, frozen=True, kw_only=True):
+    """A machine's turn. Which times have passed is for each steward's own clock; `at_ms` is for people."""
+
+    state: State
+    token: int  # of the duty under which it began
+    at_ms: int
+    start_ms: int  # when the machine had started, as it was told at the beginning
+    must: tuple[str, ...]  # proxies at the engine then, by identity
+    told: bool = False  # all of them have it out
+    empty: bool = False  # and none has anybody on it: it may be worked on
+
+
+class Ledger(msgspec.Struct, frozen=True, kw_only=True):
+    plan: str  # fingerprint
+    steps: dict[str, Step] = {}
+    aborted: bool = False
+    finished: bool = False
+
+    def out(self) -> list[str]:
+        return [name for name, step in self.steps.items() if step.state is State.OUT]
+
+    def with_step(self, name: str, step: Step) -> Ledger:
+        return msgspec.structs.replace(self, steps=self.steps | {name: step})
+
+
+def encode(ledger: Ledger) -> bytes:
+    body = msgspec.json.encode(ledger)
+    return HEAD + b"%08x\n" % zlib.crc32(body) + body + b"\n"
+
+
+def decode(data: bytes) -> Ledger:
+    """Raises LedgerError."""
+    head, _, rest = data.partition(b"\n")
+    body = rest.removesuffix(b"\n")
+    if not head.startswith(HEAD) or rest == body:
+        raise LedgerError("is no ledger, or cut off")
+    if head[len(HEAD) :] != b"%08x" % zlib.crc32(body):
+        raise LedgerError("has a wrong checksum")
+    try:
+        return msgspec.json.decode(body, type=Ledger)
+    except msgspec.DecodeError as error:
+        raise LedgerError(str(error)[:200]) from None
--- /dev/null
+++ b/stoatgw/maintenance/steward.py
@@ -0,0 +1,172 @@
+"""The next step of a maintenance: pure. Only the holder of the duty asks; the engine takes one change at a time.
+
+Times are the steward's own monotonic microseconds, counted from when it first saw a thing: clocks that differ do not
+matter, and a new holder waits a little longer, never shorter.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import floor
+
+from msgspec.structs import replace
+
+from stoatgw.config.maintenance import PROXY, Plan
+from stoatgw.maintenance.ledger import Ledger, State, Step
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """A session server as discovery tells it, or a proxy as the engine does."""
+
+    zone: str
+    up: bool
+    start_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A proxy at the engine: what it has out, and what of that has nobody of its own on it."""
+
+    name: str
+    start_ms: int
+    told: frozenset[str] = frozenset()
+    empty: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Sight:
+    """What the holder sees now. `members` by identity, which is another for each process."""
+
+    machines: Mapping[str, Machine]
+    members: Mapping[str, Member]
+
+    def find(self, name: str) -> Machine | None:
+        if not name.startswith(PROXY):
+            return self.machines.get(name)
+        named = [each for each in self.members.values() if PROXY + each.name == name]
+        return Machine("", True, max(each.start_ms for each in named)) if named else None
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A ledger to write, and what happened, for the log."""
+
+    ledger: Ledger
+    event: str
+    machine: str = ""
+
+
+class Steward:
+    def __init__(self, plan: Plan) -> None:
+        self._plan = plan
+        self._seen_us: dict[tuple[str, str], int] = {}
+        self.blocked = ""  # why no step begins though machines are left
+
+    def _age_s(self, now_us: int, machine: str, what: str) -> float:
+        """Since this was first seen to be so."""
+        return (now_us - self._seen_us.setdefault((machine, what), now_us)) / 1e6
+
+    def next(self, ledger: Ledger, sight: Sight, now_us: int) -> Change | None:
+        """The next change, if one is due."""
+        self.blocked = ""
+        for name, step in ledger.steps.items():
+            if step.state is State.OUT:
+                if (change := self._go_on(ledger, name, step, sight, now_us)) is not None:
+                    return change
+            else:
+                self._age_s(now_us, name, "ended")
+        if ledger.aborted or ledger.finished:
+            return None
+        left = [name for name in self._plan.machines if name not in ledger.steps]
+        if not left and not ledger.out():
+            return Change(replace(ledger, finished=True), "finished")
+        return self._begin(ledger, left, sight, now_us) if left else None
+
+    def _go_on(self, ledger: Ledger, name: str, step: Step, sight: Sight, now_us: int) -> Change | None:
+        plan, age_s = self._plan, self._age_s(now_us, name, "out")
+
+        def end(state: State) -> Change:
+            return Change(ledger.with_step(name, replace(step, state=state)), f"step_{state.value}", name)
+
+        if ledger.aborted:
+            return end(State.RELEASED)
+        machine = sight.find(name)
+        # A proxy's new process is not the one that was sent away: there is nothing left to wait for.
+        by_start = plan.done == "restarted" or name.startswith(PROXY)
+        if by_start and machine is not None and machine.up and machine.start_ms > step.start_ms:
+            return end(State.DONE)
+        if age_s >= plan.step_s:
+            return end(State.LATE)
+        concerned = self._concerned(name, sight)
+        here = {each: sight.members[each] for each in concerned}
+        if not step.empty and self._waits_for_lost(name, step, sight, now_us):
+            return None
+        if not step.told:
+            if not all(name in each.told for each in here.values()):
+                return None
+            return Change(ledger.with_step(name, replace(step, told=True)), "step_told", name)
+        if not step.empty:
+            if not all(name in each.empty for each in here.values()):
+                return None
+            return Change(ledger.with_step(name, replace(step, empty=True)), "step_empty", name)
+        if plan.done == "empty" and self._age_s(now_us, name, "empty") >= plan.rest_s:
+            return end(State.DONE)
+        return None
+
+    def _waits_for_lost(self, name: str, step: Step, sight: Sight, now_us: int) -> bool:
+        """One that was at the engine when the step began and is lost is dead, or cut off and serves on: which, nobody
+        can tell. It is taken for dead after a time in which one that knew has sent its clients away."""
+        waits = False
+        for identity in step.must:
+            if identity in sight.members:
+                self._seen_us.pop((name, identity), None)
+            else:
+                waits |= self._age_s(now_us, name, identity) < self._plan.lapsed_s
+        return waits
+
+    def _concerned(self, name: str, sight: Sight) -> list[str]:
+        """A session server concerns all proxies, a proxy itself."""
+        if not name.startswith(PROXY):
+            return sorted(sight.members)
+        return sorted(each for each, member in sight.members.items() if PROXY + member.name == name)
+
+    def _begin(self, ledger: Ledger, left: list[str], sight: Sight, now_us: int) -> Change | None:
+        plan = self._plan
+        if len(sight.members) < plan.members_least:
+            self.blocked = f"{len(sight.members)} proxies at the engine, under members_least"
+            return None
+        out = self._away(ledger, sight, now_us)
+        size = Counter(machine.zone for machine in sight.machines.values())
+        away = Counter(machine.zone for name, machine in sight.machines.items() if name in out)
+        servers = sum(not name.startswith(PROXY) for name in out)
+        for name in left:
+            machine = sight.find(name)
+            if machine is None or not machine.up:
+                self.blocked = f"{name} is not in service, or not told of"
+            elif name.startswith(PROXY):
+                if len(out) - servers < plan.proxies_out_most:
+                    return self._out(ledger, name, machine, sight)
+                self.blocked = "proxies_out_most proxies are out"
+            elif servers >= plan.out_most:
+                self.blocked = "out_most session servers are out"
+            elif away[machine.zone] + 1 > floor(plan.zone_share * size[machine.zone] + 1e-9):
+                self.blocked = f"zone_share of {machine.zone or 'its zone'} is out, or allows none"
+            else:
+                return self._out(ledger, name, machine, sight)
+        return None
+
+    def _away(self, ledger: Ledger, sight: Sight, now_us: int) -> set[str]:
+        """All that serves nobody now: out by a step, just back and cold, or down by itself."""
+        away = set(ledger.out())
+        for name, step in ledger.steps.items():
+            if step.state is not State.OUT and self._age_s(now_us, name, "ended") < self._plan.settle_s:
+                away.add(name)
+        return away | {name for name, machine in sight.machines.items() if not machine.up}
+
+    def _out(self, ledger: Ledger, name: str, machine: Machine, sight: Sight) -> Change:
+        must = tuple(self._concerned(name, sight))
+        step = Step(state=State.OUT, token=0, at_ms=0, start_ms=machine.start_ms, must=must)
+        return Change(ledger.with_step(name, step), "step_out", name)
--- a/stoatgw/operations.py
+++ b/stoatgw/operations.py
@@ -18,6 +18,13 @@
 DRAIN_NEWCOMERS_US, DRAIN_OVER_US, DRAIN_SERVE_US = 400_000, 2_000_000, 2_600_000
 
 
+def drain(house: House, owner: Owner, log: EventLog) -> None:
+    """Send all clients away; nothing if that is under way."""
+    if house.course.drain():
+        log.event("drain", open=len(house.standing))
+        owner.put(Drain(DRAIN_NEWCOMERS_US, DRAIN_OVER_US, DRAIN_SERVE_US))
+
+
 class Operations:
     def __init__(
         self,
@@ -70,9 +77,7 @@
 
     def _drain(self) -> Answer:
         course = self._house.course
-        if course.drain():
-            self._log.event("drain", open=len(self._house.standing))
-            self._owner.put(Drain(DRAIN_NEWCOMERS_US, DRAIN_OVER_US, DRAIN_SERVE_US))
+        drain(self._house, self._owner, self._log)
         return Answer(200, f"yes: {course.stage.value}\n")
 
     def _activate(self) -> Answer:
--- a/stoatgw/owner/messages.py
+++ b/stoatgw/owner/messages.py
@@ -185,6 +185,7 @@
 
     server: str
     out: bool
+    over_us: int = 0  # within so long
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -65,7 +65,6 @@
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
-VACATE_S = 2.0  # a server taken out by hand is left over so long: well before a restart, and no herd elsewhere
 GOLDEN = 0.6180339887  # steps of this part of a span, over and over, never fall close together
 
 
@@ -185,13 +184,17 @@
                     self._send_away(req)
             case Unserved():
                 self._answer_waiting()
-            case Vacate(server, out):
-                self._vacate(server, out)
+            case Vacate(server, out, over_us):
+                self._vacate(server, out, over_us)
             case Activate():
                 self._activate()
             case Rebalance():
                 self._rebalance()
 
+    def holds(self, server: str) -> int:
+        """Connections of this proxy there, standing or under way."""
+        return sum(req.server == server and (req.up or req.out is not None) for req in self._reqs.values())
+
     def _rebalance(self) -> None:
         """One step of the mover; a fault of its own ends this step and nothing else."""
         if self._mover is None or self._draining:
@@ -335,7 +338,7 @@
             else:
                 self._fail(req)
 
-    def _vacate(self, server: str, out: bool) -> None:
+    def _vacate(self, server: str, out: bool, over_us: int) -> None:
         """Nobody waits for its restart to be cut off: the list does not tell it to send its clients away."""
         for handle in self._vacating.pop(server, []):
             handle.cancel()
@@ -344,7 +347,7 @@
         standing = [req for req in self._reqs.values() if req.up and req.server == server]
         loop, moves = asyncio.get_running_loop(), self._vacating.setdefault(server, [])
         for place, req in enumerate(standing):
-            moves.append(loop.call_later(VACATE_S * place / len(standing), self.put, SendAway(req)))
+            moves.append(loop.call_later(over_us / 1e6 * place / len(standing), self.put, SendAway(req)))
 
     def _move_late(self, req: Req) -> None:
         """One that came up in a drain leaves among the others, by even steps that never fall together."""
--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -134,12 +134,19 @@
     loop.add_signal_handler(
         signal.SIGUSR1, lambda: log.event("counters", open=listener.open, reqs=owner.open, **counters.all())
     )
-    keeper = None
+    keeper = agent = None
     if deployment.management is not None:
         from stoatgw.suspension.keeper import Keeper
+        from stoatgw.suspension.outs import Outs
 
-        keeper = Keeper(os.environ.get("TMPDIR"), overlay, director, owner, clock, log)
+        keeper = Keeper(os.environ.get("TMPDIR"), Outs(overlay, director, owner, clock, log), director, clock, log)
         keeper.begin()
+    if operators is not None and operators.membership is not None and operators.maintenance is not None:
+        from stoatgw.maintenance.service import make_agent
+
+        agent = make_agent(operators.membership, operators.maintenance, deployment, house, owner, director, overlay,
+                           clock, log)  # fmt: skip
+        agent.begin()
     director.known(deployment.known)
     owner.start(Backstage(backends, prober, director))
     bind(listener, deployment.listen)
@@ -163,6 +170,8 @@
         except OSError as fault:
             raise ConfigError(f"management: cannot listen there: {fault.strerror}") from None
         loops += [callers.run, partial(every, BANS_LOOK_S, keeper.look, log)]
+    if agent is not None:
+        loops.append(agent.run)
     tasks = [loop.create_task(run()) for run in loops]
     log.event("ready", listen=str(deployment.listen))
     stop = loop.create_task(stopped.wait())
@@ -178,10 +187,13 @@
         listener.accept(False)
     end, began = stopping(settings, handed_over=handed), clock.now_us()
     owner.put(end.drain)
+    leaving = loop.create_task(agent.leave()) if agent is not None else None
     while (passed_us := clock.now_us() - began) < end.most_us:
         if passed_us >= end.least_us and not listener.open:
             break
         await asyncio.sleep(0.02)
+    if leaving is not None:
+        leaving.cancel()
     if beside is not None:
         beside.leave()
     log.event("stopped", open=listener.open, reqs=owner.open, **counters.all())
--- a/stoatgw/suspension/keeper.py
+++ b/stoatgw/suspension/keeper.py
@@ -6,9 +6,8 @@
 
 from stoatgw.director.director import Director
 from stoatgw.owner.clock import Clock
-from stoatgw.owner.messages import Vacate
-from stoatgw.owner.owner import Owner
-from stoatgw.suspension.overlay import Overlay
+from stoatgw.suspension.outs import Outs
+from stoatgw.suspension.overlay import BY_HAND
 from stoatgw.suspension.store import Store, StoreError
 from stoatgw.telemetry.log import EventLog
 
@@ -16,11 +15,9 @@
 
 
 class Keeper:
-    def __init__(
-        self, folder: str | None, overlay: Overlay, director: Director, owner: Owner, clock: Clock, log: EventLog
-    ) -> None:
+    def __init__(self, folder: str | None, outs: Outs, director: Director, clock: Clock, log: EventLog) -> None:
         self._store = Store(Path(folder)) if folder else None
-        self._overlay, self._director, self._owner = overlay, director, owner
+        self._outs, self._overlay, self._director = outs, outs.overlay, director
         self._clock, self._log = clock, log
         self._seen: tuple[int, int, int] | None = None
 
@@ -37,7 +34,7 @@
     def suspend(self, name: str) -> str:
         """Out from now on; gives why that would not outlive this process, if so."""
         now_us, why = self._clock.now_us(), ""
-        bans = dict(self._overlay.bans)
+        bans = dict(self._overlay.bans_of(BY_HAND))
         bans.setdefault(name, now_us)
         if self._store is not None:
             try:
@@ -50,7 +47,7 @@
 
     def resume(self, name: str) -> str:
         """Used again from now on; gives why not, if so, and then nothing has changed."""
-        bans = {each: since_us for each, since_us in self._overlay.bans.items() if each != name}
+        bans = {each: since_us for each, since_us in self._overlay.bans_of(BY_HAND).items() if each != name}
         if self._store is not None:
             try:
                 bans = self._store.change(name, None)
@@ -58,17 +55,10 @@
                 self._log.event("suspended_not_kept", error=str(fault))
                 return str(fault)
         self._apply(bans)
-        return ""
+        return "the maintenance has it out" if name in self._overlay.bans else ""
 
     def _apply(self, bans: dict[str, int]) -> None:
-        out, back = self._overlay.take(bans, self._clock.now_us())
-        for name in out:
-            self._log.event("suspended", backend=name)
-            self._owner.put(Vacate(name, True))
-        for name in back:
-            self._log.event("resumed", backend=name)
-            self._owner.put(Vacate(name, False))
-        self._director.tell_again([*out, *back])
+        self._outs.take(bans, BY_HAND)
         if self._store is not None:
             self._seen = self._store.seen()
 
--- a/stoatgw/suspension/overlay.py
+++ b/stoatgw/suspension/overlay.py
@@ -10,8 +10,12 @@
 Bans = Mapping[str, int]  # session servers out by hand, and since when (us of Unix time)
 
 
+BY_HAND, PLANNED = "hand", "maintenance"  # who has a server out; one that both have out comes back with the last
+
+
 class Overlay:
     def __init__(self) -> None:
+        self._by: dict[str, dict[str, int]] = {}
         self._bans: dict[str, int] = {}
         self._back: dict[str, tuple[int, int]] = {}  # called back: banned since, back since
 
@@ -19,8 +23,14 @@
     def bans(self) -> Bans:
         return self._bans
 
-    def take(self, bans: Bans, now_us: int) -> tuple[list[str], list[str]]:
-        """The bans in force from now on; gives those newly out, and those called back."""
+    def bans_of(self, source: str) -> Bans:
+        return self._by.get(source, {})
+
+    def take(self, bans: Bans, now_us: int, source: str = BY_HAND) -> tuple[list[str], list[str]]:
+        """The bans of a source from now on; gives those newly out, and those called back."""
+        self._by[source] = dict(bans)
+        every = [pair for each in self._by.values() for pair in each.items()]
+        bans = {name: min(since_us for each, since_us in every if each == name) for name, _ in every}
         out = sorted(bans.keys() - self._bans.keys())
         back = sorted(self._bans.keys() - bans.keys())
         for name in out:
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -21,6 +21,7 @@
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import Listed, Message, Stood, Vacate
 from stoatgw.suspension.keeper import Keeper
+from stoatgw.suspension.outs import VACATE_US, Outs
 from stoatgw.suspension.overlay import Overlay
 from stoatgw.suspension.store import NAME, Store, StoreError, decode, encode
 from stoatgw.telemetry.counters import Counters
@@ -106,7 +107,8 @@
             Address("127.0.0.1", 1), ListReader(("a", "b"), ()), Backends(), self.inbox, clock,  # type: ignore[arg-type]
             lambda _: None, log, Counters(), Backoff(1, random.Random(1)), self.overlay.lay,
         )  # fmt: skip
-        self.keeper = Keeper(str(folder), self.overlay, self.director, self.inbox, clock, log)  # type: ignore[arg-type]
+        self.outs = Outs(self.overlay, self.director, self.inbox, clock, log)  # type: ignore[arg-type]
+        self.keeper = Keeper(str(folder), self.outs, self.director, clock, log)
         self.keeper.begin()
         self.director.known(page(entry()))
 
@@ -132,7 +134,7 @@
     old, new = Side(tmp_path), Side(tmp_path)
     assert old.state() is Lifecycle.ON and not old.keeper.known("s-9")
     assert old.keeper.suspend("s-1") == old.keeper.suspend("s-1") == ""
-    assert old.state() is Lifecycle.FADING and Vacate("s-1", True) in old.inbox.told
+    assert old.state() is Lifecycle.FADING and Vacate("s-1", True, VACATE_US) in old.inbox.told
     new.keeper.look()
     assert new.state() is Lifecycle.FADING
     old.director.known(page(entry(startedAtMs=9)))  # restarted, and listed whole once more
