--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -21,7 +21,7 @@
 OWN_ZONE_FAVOUR = 3.0  # the own zone is probed so many times as often
 CANDIDATES, EXAMINED = 2, 12  # passing servers compared, at least; looked at of each zone, at most
 MARGIN = 0.8  # the paper's tau
-GROUP_PULL, GROUP_UNITS = (0.15, 0.05), 3.0  # held: liked by so much load (few, many balancers); new: weighs
+GROUP_PULL, GROUP_UNITS = 0.05, 3.0  # a group held already: preferred by so much load; one new weighs so many
 SPILL = 0.6  # load up to which the own zone, then settled servers, are filled first
 LOW_WORTH_CUT = 0.4  # part of the margin that a connection of no worth forgoes while the highest is refused;
 CUT_ALWAYS, SCARCE_KEPT = 0.5, 0.9  # so much of that at any time; part of the worth refused kept a period
@@ -501,7 +501,7 @@
                     continue
                 over_spill = known and pressure >= SPILL
                 last |= known and server.probed is None and not self._by_weight(server)  # not heard from
-                cost = pressure - GROUP_PULL[self._many] * (units <= connection.units)
+                cost = pressure - GROUP_PULL * (units <= connection.units)
                 key = (last, over_spill, not over_spill and servers is self._fleet.far, cost)
                 if key < best_key:
                     if servers is self._fleet.filling and not self._cold_room(server, connection):
