One place writes small files whole, with version and checksum; an unused name is gone

Need, from reading the whole change again: maintenance/ledger and record wrote anew what suspension/store had (framing, checksum, draft and rename). Now kept.py, used by both; the messages are as before, and the tests that cut both files at every byte pass unchanged. The stand-in's store had a type that nothing used.

--- a/stoatgw/emulator/engine/store.py
+++ b/stoatgw/emulator/engine/store.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 import orjson
 
@@ -96,6 +94,3 @@
     for lease, (ttl_s, until_us) in leases.items():
         store.leases[int(lease)] = Lease(ttl_s, until_us if keep else now_us + ttl_s * 1_000_000)
     return store
-
-
-Handle = Callable[[Store, dict[str, Any], int], dict[str, Any]]
--- a/stoatgw/maintenance/ledger.py
+++ b/stoatgw/maintenance/ledger.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
-import zlib
 from enum import Enum
 
 import msgspec
 
+from stoatgw.kept import frame, unframe
+
 HEAD = b"stoatgw-maintenance 1 "  # its version; the checksum of the rest follows
 BYTES_MOST = 1 << 20
 
@@ -52,18 +53,12 @@
 
 def encode(ledger: Ledger) -> bytes:
     body = msgspec.json.encode(ledger)
-    return HEAD + b"%08x\n" % zlib.crc32(body) + body + b"\n"
+    return frame(HEAD, body)
 
 
 def decode(data: bytes) -> Ledger:
     """Raises LedgerError."""
-    head, _, rest = data.partition(b"\n")
-    body = rest.removesuffix(b"\n")
-    if not head.startswith(HEAD) or rest == body:
-        raise LedgerError("is no ledger, or cut off")
-    if head[len(HEAD) :] != b"%08x" % zlib.crc32(body):
-        raise LedgerError("has a wrong checksum")
     try:
-        return msgspec.json.decode(body, type=Ledger)
-    except msgspec.DecodeError as error:
+        return msgspec.json.decode(unframe(HEAD, data, "is no ledger"), type=Ledger)
+    except ValueError as error:  # msgspec's own among them
         raise LedgerError(str(error)[:200]) from None
--- a/stoatgw/maintenance/record.py
+++ b/stoatgw/maintenance/record.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import contextlib
-import os
 from pathlib import Path
 
+from stoatgw.kept import write
 from stoatgw.maintenance.ledger import BYTES_MOST, Ledger, LedgerError, decode, encode
 
 
@@ -31,11 +30,7 @@
 
     def save(self, ledger: Ledger) -> None:
         """Raises RecordError, with the file as it was."""
-        draft = self._path.with_suffix(f".{os.getpid()}")
         try:
-            draft.write_bytes(encode(ledger))
-            draft.rename(self._path)
+            write(self._path, encode(ledger))
         except OSError as fault:
-            with contextlib.suppress(OSError):
-                draft.unlink(missing_ok=True)
             raise RecordError(f"{self._path.name}: cannot be written: {fault.strerror}") from None
--- a/stoatgw/suspension/store.py
+++ b/stoatgw/suspension/store.py
@@ -4,11 +4,11 @@
 
 import fcntl
 import os
-import zlib
 from pathlib import Path
 
 import orjson
 
+from stoatgw.kept import frame, unframe, write
 from stoatgw.suspension.overlay import Bans
 
 NAME = "stoatgw-suspended"
@@ -22,18 +22,12 @@
 
 def encode(bans: Bans) -> bytes:
     body = orjson.dumps(dict(bans), option=orjson.OPT_SORT_KEYS)
-    return HEAD + b"%08x\n" % zlib.crc32(body) + body + b"\n"
+    return frame(HEAD, body)
 
 
 def decode(data: bytes) -> dict[str, int]:
     """Raises ValueError."""
-    head, _, rest = data.partition(b"\n")
-    body = rest.removesuffix(b"\n")
-    if not head.startswith(HEAD) or rest == body:
-        raise ValueError("is none of ours, or cut off")
-    if head[len(HEAD) :] != b"%08x" % zlib.crc32(body):
-        raise ValueError("has a wrong checksum")
-    bans = orjson.loads(body)
+    bans = orjson.loads(unframe(HEAD, data, "is none of ours"))
     if not isinstance(bans, dict) or not all(type(since_us) is int for since_us in bans.values()):
         raise ValueError("holds no bans")
     return bans
@@ -83,10 +77,7 @@
             os.close(lock)
 
     def _write(self, data: bytes) -> None:
-        draft = self._path.with_suffix(f".{os.getpid()}")
         try:
-            draft.write_bytes(data)
-            draft.rename(self._path)
+            write(self._path, data)
         except OSError as fault:
-            draft.unlink(missing_ok=True)
             raise StoreError(f"{self._path.name}: cannot be written: {fault.strerror}") from None
