--- a/stoatgw/director/director.py
+++ b/stoatgw/director/director.py
@@ -13,7 +13,7 @@
 from stoatgw.config.deployment import Address
 from stoatgw.decisions.interface import Lifecycle, ListKind, ListUpdate, ServerEntry
 from stoatgw.director.backoff import Backoff
-from stoatgw.director.http import HttpBusyError, HttpError, HttpLines
+from stoatgw.director.http import HttpBusyError, HttpError, HttpObjects
 from stoatgw.director.list import ListError, ListReader, Page, Row
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import Listed
@@ -22,11 +22,22 @@
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
-# A watch brings a line every 2 s, and what it kept back counts as told after 6 s: one that is silent for two lines
-# and more is dead, and a new one has answered by then, also where the drain's grace after that is short.
-SILENT_S = 4.5
-ANSWER_S = 2.5  # discovery answers or turns away a call within 2 s
+SILENT_S = 2.5  # a watch brings a line every 2 s; one that misses a line is not waited for any longer
+PUSHED_ANSWER_S, ASKED_ANSWER_S = 1.0, 1.4  # an agent answers at once; discovery, asked by many, within 2 s
 CONNECT_S = 1.0
+CALLS_MOST = 3  # open at once, the quiet ones that may speak yet among them
+
+
+class Call:
+    """One call to discovery, open."""
+
+    def __init__(self) -> None:
+        self.task: asyncio.Task[None] | None = None
+        self.heard = False
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
 
 
 class Director:
@@ -41,15 +52,19 @@
         log: EventLog,
         counters: Counters,
         backoff: Backoff,
+        answer_s: float = PUSHED_ANSWER_S,
         lay: Callable[[ServerEntry], ServerEntry] = lambda entry: entry,
     ) -> None:
         self._address, self._reader, self._backends = address, reader, backends
         self._owner, self._clock, self._left = owner, clock, left
         self._log, self._counters, self._backoff, self._lay = log, counters, backoff, lay
+        self._answer_s = answer_s  # a call that has said nothing for so long is not waited for any longer
         self._rows: dict[str, Row] = {}  # as discovery told them
         self._version: int | None = None
         self.told_us: int | None = None  # when discovery first told anything
-        self._stay = asyncio.timeout(None)  # ends early when the address changes
+        self._calls: list[Call] = []  # oldest first
+        self._call_at_s = 0.0  # when another call is due, by the loop's clock
+        self._stirred = asyncio.Event()  # that time has changed
 
     @property
     def listed(self) -> int:
@@ -83,68 +98,104 @@
         """Watch at another address from now on, after the version held; the list is kept meanwhile."""
         if address == self._address:
             return
+        self._log.event("watch_moved", **{"from": str(self._address), "to": str(address)})
         self._address = address
-        with contextlib.suppress(RuntimeError):  # not entered yet: it begins at the new address
-            self._stay.reschedule(0.0)
+        self._keep_only(None)
+        self._call_in(0.0)
 
     async def run(self) -> None:
-        if self._version is not None:
-            await asyncio.sleep(self._backoff.begin_s())
-        while True:
-            address = self._address
-            # Guards against a pause or a connect under way that would outlast the move: news that the
-            # new address has counts as told within seconds.
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(None) as self._stay:
-                    await self._keep_watching()
-            self._log.event("watch_moved", **{"from": str(address), "to": str(self._address)})
-
-    async def _keep_watching(self) -> None:
-        while True:
-            busy = False
-            try:
-                if await self._watch():
-                    self._backoff.answered()
-            except HttpBusyError as error:
-                busy = True
-                self._counters.add("watch_busy")
-                self._log.event("watch_lost", error=repr(error))
-            except (OSError, TimeoutError, HttpError) as error:
-                self._counters.add("watch_failures")
-                self._log.event("watch_lost", error=repr(error))
-            except Exception as error:
-                self._counters.add("watch_faults")
-                self._log.event("watch_fault", error=repr(error))
-            await asyncio.sleep(self._backoff.next_s(busy=busy))
-
-    async def _watch(self) -> bool:
-        """One watch until it ends; whether it brought anything."""
-        loop, http, buffer, heard = asyncio.get_running_loop(), HttpLines(), bytearray(65536), False
+        """Keep a watch. A call that is quiet is never waited for: another is begun beside it.
+
+        What a silent watch keeps back counts as told after 6 s, and the first call after it may fail as well. But it
+        is kept open: an agent that learns nothing while discovery is down tells at once what it gets then. Whichever
+        call speaks first is kept alone, since what both of them hold may differ.
+        """
+        loop = asyncio.get_running_loop()
+        self._call_in(0.0 if self._version is None else self._backoff.begin_s())
+        try:
+            while True:
+                if loop.time() >= self._call_at_s:
+                    self._begin_call()
+                self._stirred.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout_at(self._call_at_s):
+                        await self._stirred.wait()
+        finally:
+            self._keep_only(None)
+
+    def _call_in(self, after_s: float) -> None:
+        self._call_at_s = asyncio.get_running_loop().time() + after_s
+        self._stirred.set()
+
+    def _keep_only(self, kept: Call | None) -> None:
+        for call in self._calls:
+            if call is not kept:
+                call.close()
+        self._calls = [] if kept is None else [kept]
+
+    def _begin_call(self) -> None:
+        for call in self._calls[: max(0, len(self._calls) + 1 - CALLS_MOST)]:
+            call.close()
+            self._calls.remove(call)
+        if self._calls:
+            self._counters.add("watch_quiet")
+            self._log.event("watch_quiet", calls=len(self._calls))
+        call = Call()
+        self._calls.append(call)
+        call.task = asyncio.get_running_loop().create_task(self._run_call(call))
+        self._call_in(self._answer_s)
+
+    async def _run_call(self, call: Call) -> None:
+        """One call from its connect to its end, which is told only where it was not closed by us."""
+        busy = False
+        try:
+            await self._watch(call)
+        except HttpBusyError as error:
+            busy = True
+            self._counters.add("watch_busy")
+            self._log.event("watch_lost", error=repr(error))
+        except (OSError, TimeoutError, HttpError) as error:
+            self._counters.add("watch_failures")
+            self._log.event("watch_lost", error=repr(error))
+        except Exception as error:
+            self._counters.add("watch_faults")
+            self._log.event("watch_fault", error=repr(error))
+        if call in self._calls:
+            self._calls.remove(call)
+            if call.heard:
+                self._backoff.answered()
+            self._call_in(self._backoff.next_s(busy=busy))
+
+    async def _watch(self, call: Call) -> None:
+        loop, http, buffer = asyncio.get_running_loop(), HttpObjects(), bytearray(65536)
         after = "" if self._version is None else f"&after={self._version}"
+        address = self._address
         sock = calls.make()
         try:
             async with asyncio.timeout(CONNECT_S):
-                await loop.sock_connect(sock, (self._address.host, self._address.port))
+                await loop.sock_connect(sock, (address.host, address.port))
                 target = f"GET /v1/endpoints?watch=1{after} HTTP/1.1\r\n"
-                host = f"Host: {self._address.host}:{self._address.port}\r\n\r\n"
+                host = f"Host: {address.host}:{address.port}\r\n\r\n"
                 await loop.sock_sendall(sock, (target + host).encode())
             while not http.done:
-                async with asyncio.timeout(SILENT_S if heard else ANSWER_S):
-                    count = await loop.sock_recv_into(sock, buffer)
+                count = await loop.sock_recv_into(sock, buffer)
                 if not count:
                     break
-                for line in http.feed(bytes(memoryview(buffer)[:count])):
-                    heard = True
+                for item in http.feed(bytes(memoryview(buffer)[:count])):
+                    if call not in self._calls:
+                        return
                     # A missed change could break the drain rule: after a bad object, ask for it anew.
-                    if line.strip() and not self._object(line):
-                        return False
+                    if item and not self._object(item):
+                        return
+                    call.heard = True
+                    self._keep_only(call)
+                    self._call_in(SILENT_S)
         finally:
             calls.close(sock)
-        return heard
 
-    def _object(self, line: bytes) -> bool:
+    def _object(self, item: bytes) -> bool:
         try:
-            data = orjson.loads(line)
+            data = orjson.loads(item)
         except orjson.JSONDecodeError as error:
             return self._bad(str(error))
         return self._read(data, ListKind.DIFF)
@@ -157,6 +208,10 @@
             return self._bad(str(error))
         if kind is ListKind.DIFF and page.whole:
             kind = ListKind.SNAPSHOT
+        if kind is ListKind.DIFF and page.version < (self._version or 0):
+            # Changes of a time before ours, or of another count: taken in, a server that drains would serve again.
+            self._version = None  # the whole list is asked for next
+            return self._bad("the generation went back")
         self._take(page, kind)
         return True
 
--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -24,7 +24,7 @@
 from stoatgw.config.deployment import Address, ConfigError, Deployment, load
 from stoatgw.decisions.interface import Settings
 from stoatgw.director.backoff import Backoff
-from stoatgw.director.director import Director
+from stoatgw.director.director import ASKED_ANSWER_S, PUSHED_ANSWER_S, Director
 from stoatgw.director.list import ListReader
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.messages import Mover
@@ -131,7 +131,8 @@
         lambda backend: prober.close(backend.name),
         log,
         counters,
-        Backoff(settings.balancers, random.Random(deployment.seed)),
+        Backoff(settings.balancers, random.Random(deployment.seed), pushed=not settings.must_subscribe),
+        ASKED_ANSWER_S if settings.must_subscribe else PUSHED_ANSWER_S,
         overlay.lay,
     )
     room = Room(deployment.sockets - (CALLERS_KEPT if deployment.management else 0))
