--- a/stoatgw/clients/house.py
+++ b/stoatgw/clients/house.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -11,6 +12,7 @@
 from stoatgw.clients.room import Room
 from stoatgw.config.deployment import Deployment
 from stoatgw.decisions.interface import NoteKind
+from stoatgw.lines.grammar import field_pattern
 from stoatgw.owner.clock import Clock
 from stoatgw.owner.course import Course
 from stoatgw.owner.messages import Req
@@ -70,6 +72,7 @@
     classes: dict[str, int] = field(default_factory=dict)
     tenants: dict[str, int] = field(default_factory=dict)
     figures: Figures = field(init=False)
+    line_field: re.Pattern[bytes] = field(init=False)  # of a client's first line
 
     def __post_init__(self) -> None:
         self.classes = {
@@ -77,6 +80,7 @@
         }
         self.tenants = {name: index for index, name in enumerate(self.deployment.settings.tenants)}
         self.figures = Figures(self.classes)
+        self.line_field = field_pattern([*self.classes, *self.tenants])
 
     @property
     def ready(self) -> bool:
--- a/stoatgw/clients/opening.py
+++ b/stoatgw/clients/opening.py
@@ -86,7 +86,7 @@
         return Malformed("the line is too long") if self._splitter.overlong else None
 
     def _judge(self, lines: list[bytes]) -> Open | Malformed:
-        opened = read_open(lines[0])
+        opened = read_open(lines[0], self._house.line_field)
         if isinstance(opened, Malformed):
             return opened
         if len(lines) > 1 or self._splitter.rest or self._splitter.overlong:
--- a/stoatgw/lines/grammar.py
+++ b/stoatgw/lines/grammar.py
@@ -4,6 +4,7 @@
 
 import math
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -12,8 +13,7 @@
 
 _ID = re.compile(rb"[0-9a-fA-F]{16}\Z")
 _HEX = re.compile(rb"[0-9a-fA-F]{1,16}\Z")
-_NAME = re.compile(rb"[A-Za-z_][A-Za-z0-9_.-]*\Z")
-_PRINTABLE = re.compile(rb"[ -~]*\Z")
+_WORD = rb"[!-+\--~]+"  # a value as it is in most lines: no blank, no comma
 _DIGITS = re.compile(rb"[0-9]{1,15}\Z")
 
 
@@ -40,34 +40,48 @@
     again: bool
     at: str | None
     tenant: str = ""  # "": the line names none
+    wait_at: tuple[int, int] = (0, 0)  # where in the line the value of `d` is
 
     def forwarded(self, wait_ms: int) -> bytes:
         """The line for a session server: the client's own, but for `d`."""
-        head, space, fields = self.line.rpartition(b" ")
-        parts = [b"d=%d" % wait_ms if part.startswith(b"d=") else part for part in fields.split(b",")]
-        return head + space + b",".join(parts) + b"\r\n"
+        begin, end = self.wait_at
+        return b"%s%d%s\r\n" % (self.line[:begin], wait_ms, self.line[end:])
 
 
-def read_open(line: bytes) -> Open | Malformed:
+def field_pattern(names: Iterable[str] = ()) -> re.Pattern[bytes]:
+    """How a field reads where the settings have these names of classes and tenants.
+
+    Only those may hold blanks, commas or letters beyond ASCII: in any other value these are a bad client's.
+    """
+    odd = {name.encode() for name in names if name.isprintable() and not re.fullmatch(_WORD, name.encode())}
+    known = b"|".join(re.escape(name) for name in sorted(odd, key=len, reverse=True))
+    named = b"([ct])=(%s)|" % known if known else b"()()(?!)|"
+    return re.compile(b"(?:%s([A-Za-z_][A-Za-z0-9_.-]*)=(%s))(?:,(?!\\Z)|\\Z)" % (named, _WORD))
+
+
+PLAIN = field_pattern()
+
+
+def read_open(line: bytes, field: re.Pattern[bytes] = PLAIN) -> Open | Malformed:
     """Read `OPEN id key name=value,...`; unknown names are passed over."""
-    words = line.split(b" ")
+    words = line.split(b" ", 3)
     if words[0] != b"OPEN" or len(words) != 4:
         return Malformed("not an OPEN line")
     _, request, key, rest = words
     if not _ID.match(request) or not _HEX.match(key):
         return Malformed("id or key is not hex")
     fields: dict[bytes, bytes] = {}
-    for part in rest.split(b","):
-        name, found, value = part.partition(b"=")
-        if not found or not _NAME.match(name) or not value or name in fields:
+    at, wait_at = len(line) - len(rest), (0, 0)
+    while at < len(line) or not rest:
+        found = field.match(line, at)
+        name = found and (found[1] or found[3])
+        if not found or not name or name in fields:
             return Malformed("a field is no name=value, or comes twice")
-        fields[name] = value
-    try:
-        text = {name.decode("ascii"): value.decode("ascii") for name, value in fields.items()}
-    except UnicodeDecodeError:
-        return Malformed("a field is not ASCII")
-    if not _PRINTABLE.match(line):
-        return Malformed("the line holds control characters")
+        fields[name] = found[2] or found[4]
+        if name == b"d":
+            wait_at = found.span(4)
+        at = found.end()
+    text = {name.decode(): value.decode() for name, value in fields.items()}
     if "c" not in text or not _DIGITS.match(fields.get(b"d", b"")):
         return Malformed("field c or d is missing or no number")
     if b"g" in fields and not _HEX.match(fields[b"g"]):
@@ -89,6 +103,7 @@
         again=text.get("again") == "1",
         at=text.get("at"),
         tenant=text.get("t", ""),
+        wait_at=wait_at,
     )
 
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stoatgw.lines.grammar import Malformed, Open, Word, busy, read_open, read_reply
+from stoatgw.lines.grammar import Malformed, Open, Word, busy, field_pattern, read_open, read_reply
 from stoatgw.lines.splitter import LINE_CAP, Splitter
 
 LINE = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=2000,g=5c0f6e1a2b3d4c59"
@@ -92,6 +92,26 @@
     assert (named.tenant, bare.tenant) == ("sabah", "")
 
 
+ODD = ('Ticket "open"', "a,b", "øre", "x")
+
+
+@pytest.mark.parametrize("name", ODD)
+def test_names_of_the_settings_are_read_whatever_they_hold(name: str) -> None:
+    # Guards against every client of a tenant called "north east" being answered ERR.
+    head, fields = LINE.rpartition(b" ")[0], f"c={name},t={name},d=20,g=5c"
+    opened = read_open(head + b" " + fields.encode(), field_pattern(ODD))
+    assert isinstance(opened, Open)
+    assert (opened.profile, opened.tenant, opened.wait_ms) == (name, name, 20)
+    assert opened.forwarded(7) == head + b" " + fields.replace("d=20", "d=7").encode() + b"\r\n"
+
+
+@pytest.mark.parametrize("name", ["north east", "a,b c", "ører", 'Ticket "open" d=5', "a,b,", "a,,b"])
+def test_no_other_value_holds_blanks_commas_or_more_than_ascii(name: str) -> None:
+    head = LINE.rpartition(b" ")[0]
+    for fields in (f"c={name},d=20", f"c=x,d=20,t={name}", f"c=x,d=20,g={name}"):
+        assert isinstance(read_open(head + b" " + fields.encode(), field_pattern(ODD)), Malformed)
+
+
 def test_replies() -> None:
     assert read_reply(b"UP 77f").word is Word.UP
     assert read_reply(b"BUSY inflight=7,util=0.61").report == {"inflight": 7, "util": 0.61}
