--- a/stoatgw/backends/fetch.py
+++ b/stoatgw/backends/fetch.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -15,6 +17,7 @@
 from stoatgw.sockets import calls
 
 BUFFER = 8192  # bytes read at once
+PARTING_MOST = 1 << 30  # a backend's bytes on their way, however many: its time is what bounds them
 REFUSALS = {
     Word.BYE: Status.DELIVERED,
     Word.MOVE: Status.REVOKED,
@@ -38,7 +41,7 @@
     ) -> None:
         self._backend, self._clock, self._row = backend, clock, row
         self._dial_us, self._grace_us, self._sent = dial_us, grace_us, sent
-        self._sock = calls.make()
+        self._sock: socket.socket | None = None
         self._splitter = Splitter()
         self._last = Word.OTHER
         self._with_up: list[bytes] = []  # whole lines that came in one piece with UP
@@ -46,14 +49,21 @@
         self.receipt = b""  # the UP line and what came with it, as it came
         self.reset = False  # the backend ended with a reset
 
-    async def open(self, line: Callable[[int], bytes], cut_at_us: int) -> FetchEnd | None:
-        """Connect, send the line, wait for UP. None: it is up."""
+    async def open(self, line: Callable[[int], bytes], cut_at_us: int, begin_by_us: int = 0) -> FetchEnd | None:
+        """Connect, send the line, wait for UP. None: it is up. `begin_by_us`: no line is sent later; 0: at any time."""
         loop = asyncio.get_running_loop()
+        try:
+            sock = self._sock = calls.make()
+        except OSError as error:  # no descriptor is left: nothing is said of the backend
+            return self._end(Status.UNUSED, str(error))
         try:
             wait_us = cut_at_us - self._clock.now_us()
             async with asyncio.timeout(min(self._dial_us, wait_us) / 1e6) as limit:
-                await loop.sock_connect(self._sock, self._backend.address)
+                await loop.sock_connect(sock, self._backend.address)
                 now_us = self._clock.now_us()
+                # Guards the window of a repeat: connecting may have outlasted it.
+                if begin_by_us and now_us >= begin_by_us:
+                    return self._end(Status.DIAL_FAILED, "too late to repeat")
                 # Guards the drain rule: connecting may have outlasted the grace.
                 if not self._backend.may_send(now_us, self._grace_us):
                     return self._end(Status.DIAL_FAILED, "it left meanwhile")
@@ -61,10 +71,10 @@
                     return self._end(Status.DIAL_FAILED, "no time left")
                 limit.reschedule(loop.time() + (cut_at_us - now_us) / 1e6)
                 self.stage = Stage.SENDING
-                await loop.sock_sendall(self._sock, line((cut_at_us - now_us) // 1000))
+                await calls.send_whole(sock, line((cut_at_us - now_us) // 1000))
                 self.stage = Stage.SENT
                 self._sent()
-                return await self._first(loop)
+                return await self._first(loop, sock)
         except TimeoutError:
             status = Status.EXPIRED if self.stage is Stage.SENT else Status.DIAL_FAILED
             return self._end(status, "timed out")
@@ -73,9 +83,9 @@
             status = Status.DROPPED if self.stage is Stage.SENT else Status.DIAL_FAILED
             return self._end(status, str(error))
 
-    async def _first(self, loop: asyncio.AbstractEventLoop) -> FetchEnd | None:
+    async def _first(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> FetchEnd | None:
         while True:
-            data = await loop.sock_recv(self._sock, BUFFER)
+            data = await loop.sock_recv(sock, BUFFER)
             if not data:
                 return self._end(Status.DROPPED, "ended without a word")
             self.receipt += data
@@ -94,6 +104,7 @@
     async def relay(self, listener: Listener) -> FetchEnd:
         """Pass all on until the backend ends the connection."""
         loop = asyncio.get_running_loop()
+        assert self._sock is not None  # it is up
         try:
             self._hear(self._with_up, listener)
             # No buffer is held while nothing comes: most connections wait most of the time.
@@ -113,10 +124,23 @@
             listener.heard(lines)
 
     async def send(self, data: bytes) -> None:
-        await asyncio.get_running_loop().sock_sendall(self._sock, data)
+        if self._sock is not None:
+            await asyncio.get_running_loop().sock_sendall(self._sock, data)
 
     def close(self, *, reset: bool = False) -> None:
-        calls.close(self._sock, reset=reset)
+        if self._sock is not None:
+            calls.close(self._sock, reset=reset)
+
+    def half_close(self) -> None:
+        """End our sending: what was sent still arrives, also where the backend's bytes stand unread."""
+        if self._sock is not None:
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_WR)
+
+    async def part(self, wait_s: float) -> None:
+        """Close once the backend has ended its side, or after that time."""
+        if self._sock is not None:
+            await calls.close_after(self._sock, b"", wait_s, PARTING_MOST)
 
     def _end(self, status: Status, why: str, report: dict[str, float] | None = None) -> FetchEnd:
         return FetchEnd(status, self.stage, why, self._row(report) if report else ())
--- a/stoatgw/backends/probe.py
+++ b/stoatgw/backends/probe.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
 from stoatgw.backends.backend import Backend
@@ -15,6 +16,7 @@
 from stoatgw.telemetry.counters import Counters
 
 TIME_LIMIT_S = 0.5
+KEPT_MOST = 24  # connections that rest between probes: descriptors that others need
 # The fields on sockets, by the names that the settings give the same columns.
 FIELDS = {
     "outstanding": "inflight",
@@ -64,21 +66,26 @@
     async def _probe(self, backend: Backend) -> None:
         began_us = self._clock.now_us()
         status, row = Status.DIAL_FAILED, tuple[float | None, ...]()
-        sock = self._kept.pop(backend.name, None)
+        sock, reply = self._kept.pop(backend.name, None), None
         try:
             async with asyncio.timeout(TIME_LIMIT_S):
-                if sock is not None and _ended(sock):
-                    calls.close(sock)
-                    sock = None
-                if sock is None:
+                if sock is not None:
+                    # Guards against a sound backend taken for a lost one: it may end a resting connection as we ask.
+                    with contextlib.suppress(OSError):
+                        reply = None if _ended(sock) else await self._ask(sock)
+                    if reply is None:
+                        calls.close(sock)
+                        sock = None
+                if sock is None or reply is None:
                     sock = calls.make()
                     await self._connect(sock, backend)
-                status = Status.DROPPED
-                reply = await self._ask(sock)
+                    status = Status.DROPPED
+                    reply = await self._ask(sock)
             status = Status.DELIVERED if reply.word is Word.PONG else Status.APP_ERROR
             row = self._columns.row(reply.report) if reply.rest else ()
             if reply.word is Word.PONG and backend.leaving_us is None:
-                self._kept[backend.name], sock = sock, None
+                self._keep(backend.name, sock)
+                sock = None
         except TimeoutError:
             status = Status.DIAL_FAILED if status is Status.DIAL_FAILED else Status.EXPIRED
         except OSError:
@@ -89,6 +96,12 @@
             self._counters.add(f"probes_{status.value}")
             self._owner.put(Probed(backend.name, status, self._clock.now_us() - began_us, row))
 
+    def _keep(self, name: str, sock: socket.socket) -> None:
+        """The least lately used goes: among many backends each rests until it is closed from there."""
+        self._kept[name] = sock
+        while len(self._kept) > KEPT_MOST:
+            calls.close(self._kept.pop(next(iter(self._kept))))
+
     async def _connect(self, sock: socket.socket, backend: Backend) -> None:
         async with asyncio.timeout(self._dial_s):
             await asyncio.get_running_loop().sock_connect(sock, backend.address)
--- a/stoatgw/clients/house.py
+++ b/stoatgw/clients/house.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import socket
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -17,11 +18,13 @@
 from stoatgw.owner.course import Course
 from stoatgw.owner.messages import Req
 from stoatgw.owner.owner import Owner
+from stoatgw.sockets import calls
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.figures import Figures
 from stoatgw.telemetry.log import EventLog
 
 IDS_KEPT = 16_384
+DISMISSED_S = 0.25  # one that is turned away has so long to end its side
 
 
 class RecentIds:
@@ -82,6 +85,19 @@
         self.figures = Figures(self.classes)
         self.line_field = field_pattern([*self.classes, *self.tenants])
 
+    async def dismiss(self, sock: socket.socket, line: bytes) -> None:
+        """A last line and the end, for a connection that there is no room to serve.
+
+        A request may cross the line on its way: read and thrown away, it does not turn the end into a reset.
+        """
+        if not self.room.linger():
+            calls.turn_away(sock, line)
+            return
+        try:
+            await calls.close_after(sock, line, DISMISSED_S)
+        finally:
+            self.room.lingered()
+
     @property
     def ready(self) -> bool:
         """Whether clients are let in: not while they are sent away, and not before the first list."""
--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
 from stoatgw.backends.delays import latest_ms
@@ -55,6 +56,17 @@
             if self._accepting is not None:
                 self._accepting.cancel()
 
+    async def end(self) -> None:
+        """Take in what waits in the backlog, and listen no more: the process's end would reset those that asked."""
+        self.accept(False)
+        if self._accepting is not None:
+            await asyncio.wait([self._accepting])
+        if self._sock is not None:
+            with contextlib.suppress(OSError):  # none is left, or no descriptor
+                while True:
+                    self._take(calls.accepted(self._sock))
+            self._sock.close()
+
     async def run(self) -> None:
         loop, house = asyncio.get_running_loop(), self._house
         if self._sock is None:
@@ -79,9 +91,10 @@
         house.counters.add("connections")
         if not house.room.admits():
             house.counters.add("connections_over_limit")
-            calls.turn_away(sock, busy(0))
-            return
-        task = asyncio.get_running_loop().create_task(ClientSession(sock, house).run())
+            answered = house.dismiss(sock, busy(0))
+        else:
+            answered = ClientSession(sock, house).run()
+        task = asyncio.get_running_loop().create_task(answered)
         self._sessions.add(task)
         task.add_done_callback(self._sessions.discard)
 
--- a/stoatgw/clients/opening.py
+++ b/stoatgw/clients/opening.py
@@ -23,6 +23,7 @@
         self._began = False  # any byte came
         self._over = False  # its time is up
         self._answering = False
+        self._woken = asyncio.Event()  # there is something to read, or the time is up
 
     @property
     def over(self) -> bool:
@@ -45,32 +46,37 @@
     def shed(self) -> None:
         """Time is up. Bytes that have come are read all the same, in case that we are late.
 
-        Ending our reading wakes whoever reads; to cancel the read instead could lose what it had read.
+        Our reading is not ended: what crosses the last line could then not be read, and would turn it into a reset.
         """
         self._over = True
-        with contextlib.suppress(OSError):
-            if self._answering:  # and nobody reads the answers
+        self._woken.set()
+        if self._answering:  # and nobody reads the answers
+            with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
-            elif self.idle():
-                self._sock.shutdown(socket.SHUT_RD)
 
     async def request(self) -> Open | Malformed | None:
         """The request, or why there is none; None if the client leaves or says nothing."""
         loop = asyncio.get_running_loop()
         timer = loop.call_later(PATIENCE_S, self.shed)
+        loop.add_reader(self._sock.fileno(), self._woken.set)
         try:
             while True:
-                data = await loop.sock_recv(self._sock, LINE_CAP)
+                await self._woken.wait()
+                self._woken.clear()
+                data: bytes | None = None
+                with contextlib.suppress(BlockingIOError):
+                    data = self._sock.recv(LINE_CAP)
                 found = await self._read(data) if data else None
                 if found is not None:
                     return found
                 if self._over and self._began:
                     self._house.counters.add("clients_too_slow")
                     return Malformed("no request in time")
-                if not data:
+                if self._over or data == b"":
                     return None
         finally:
             timer.cancel()
+            loop.remove_reader(self._sock.fileno())
 
     async def _read(self, data: bytes) -> Open | Malformed | None:
         self._began = True
--- a/stoatgw/clients/room.py
+++ b/stoatgw/clients/room.py
@@ -7,6 +7,7 @@
 DESCRIPTORS_KEPT = 64  # for the listener, discovery, probes, the log, and sockets about to be closed
 WAITING_PART = 3  # connections that have not asked hold one in so many descriptors at most
 REQUEST_HOLDS = 2  # descriptors of a taken request: its client and its backend
+LINGER_MOST = 24  # of those kept: connections turned away whose request may still be on its way
 
 
 class Waiting(Protocol):
@@ -28,6 +29,7 @@
         self._most = max(4, sockets - DESCRIPTORS_KEPT)
         self._waiting: dict[Waiting, None] = {}  # oldest first
         self._taken = 0
+        self._lingering = 0
         self.elsewhere = 0  # descriptors that another process of this proxy holds
 
     @property
@@ -59,6 +61,16 @@
         oldest.shed()
         return True
 
+    def linger(self) -> bool:
+        """Whether one that is turned away may be waited for, until `lingered`."""
+        if self._lingering >= LINGER_MOST:
+            return False
+        self._lingering += 1
+        return True
+
+    def lingered(self) -> None:
+        self._lingering -= 1
+
     def waits(self, each: Waiting) -> None:
         self._waiting[each] = None
 
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -77,9 +77,10 @@
         self._end: asyncio.Future[End] = asyncio.get_running_loop().create_future()
         self._req: Req | None = None
         self._open: Open | None = None
-        self._up = False  # UP is on its way to the client, or has come there
+        self._up = False  # UP is on its way to the client, or has come there: the one answer
         self._early = bytearray()
         self._fetch: Fetch | None = None  # the one that is up
+        self._parting: Fetch | None = None  # was up, and our sending there is ended
         self._fetching: asyncio.Task[None] | None = None
         self._began = -1  # the last fetch whose task ran at all
         self._messages = Messages()
@@ -96,15 +97,12 @@
             room.opened(self._opening)
             if opened is None:
                 # BUSY: a request that crosses it on the way has its answer, and may be repeated.
-                calls.turn_away(self._sock, busy(0))
+                await self._house.dismiss(self._sock, busy(0))
                 return
             if isinstance(opened, Malformed):
                 counters.add("requests_malformed")
                 self._house.figures.answered(opened.profile, Verdict.ERROR)
-                if self._opening.over:  # room was wanted, and nothing is unread
-                    calls.turn_away(self._sock, error(opened.why))
-                else:
-                    await calls.close_after(self._sock, error(opened.why), ANSWERED_LINGER_S)
+                await self._house.dismiss(self._sock, error(opened.why))
                 return
             self._class = opened.profile
             taken = room.take()
@@ -117,9 +115,12 @@
             counters.add(f"sessions_{end.cause.value}")
             if end.reset or end.cause is Cause.CLIENT_LEFT:  # nobody is there to read a last line
                 calls.close(self._sock, reset=end.reset)
+                ours = None
             else:
                 answered = end.cause in (Cause.ANSWERED, Cause.UNRULY)
-                await calls.close_after(self._sock, end.line, ANSWERED_LINGER_S if answered else LINGER_S)
+                ours = calls.close_after(self._sock, end.line, ANSWERED_LINGER_S if answered else LINGER_S)
+            parted = self._parting.part(LINGER_S) if self._parting is not None else None
+            await asyncio.gather(*(each for each in (ours, parted) if each is not None))
         except OSError:
             counters.add("sessions_broken")
             calls.close(self._sock)
@@ -130,6 +131,8 @@
             calls.close(self._sock)
         finally:
             calls.close(self._sock)
+            if self._parting is not None:
+                self._parting.close()
             room.opened(self._opening)
             if taken:
                 room.leave()
@@ -214,12 +217,16 @@
             self._class = ""
 
     def refuse(self, retry_after_us: int) -> None:
-        self._count(Verdict.OVERLOAD)
-        self._finish(End(Cause.ANSWERED, busy(retry_after_us)))
+        self._answer(Verdict.OVERLOAD, busy(retry_after_us))
 
     def fail(self) -> None:
-        self._count(Verdict.ERROR)
-        self._finish(End(Cause.ANSWERED, error("failed")))
+        self._answer(Verdict.ERROR, error("failed"))
+
+    def _answer(self, verdict: Verdict, line: bytes) -> None:
+        """Guards against a second answer: UP may be on its way while the owner's turn finds the time to be up."""
+        if not self._up:
+            self._count(verdict)
+            self._finish(End(Cause.ANSWERED, line))
 
     def move(self) -> None:
         """Send the client away, between two lines."""
@@ -250,7 +257,10 @@
                 end = FetchEnd(Status.DIAL_FAILED, Stage.CONNECTING, "no such backend")
                 return
             fetch = self._make_fetch(backend, house.deployment.dial_timeout_us)
-            ended = await fetch.open(opened.forwarded, cut_at_us)
+            ended = await fetch.open(opened.forwarded, cut_at_us, req.repeat_by_us)
+            if ended is None and self._end.done():
+                # Guards against UP passed on behind another answer, or for a client that has gone.
+                ended = FetchEnd(Status.REVOKED, Stage.UP, "its client was answered meanwhile")
             if ended is None:
                 house.owner.put(FetchUp(req, attempt))
                 ended = await self._stand(req, fetch, server)
@@ -259,7 +269,9 @@
             end = FetchEnd(self._given_up, fetch.stage if fetch else Stage.CONNECTING, "given up")
             raise
         except Exception as fault:
-            end = FetchEnd(Status.DROPPED, fetch.stage if fetch else Stage.CONNECTING, repr(fault))
+            stage = fetch.stage if fetch else Stage.CONNECTING
+            ran = stage in (Stage.SENT, Stage.UP)
+            end = FetchEnd(Status.DROPPED if ran else Status.UNUSED, stage, repr(fault))
             house.counters.add("fetch_faults")
             house.log.event("fetch_fault", error=repr(fault))
         finally:
@@ -339,8 +351,16 @@
     def _close(self, req: Req, fetch: Fetch | None) -> None:
         self._fetch = None
         self._house.standing.pop(req.asked.request, None)
-        if fetch is not None:
-            fetch.close(reset=self._end.done() and self._end.result().reset)
+        if fetch is None:
+            return
+        end = self._end.result() if self._end.done() else None
+        politely = end is not None and end.cause in (Cause.CLIENT_LEFT, Cause.MOVED) and not end.reset
+        if fetch.stage is Stage.UP and politely:
+            # Closed over unread bytes, it would be reset, and the client's last lines might go with that.
+            fetch.half_close()
+            self._parting = fetch
+        else:
+            fetch.close(reset=end is not None and end.reset)
 
     def heard(self, lines: list[bytes]) -> None:
         now_us, house = self._house.clock.now_us(), self._house
--- a/stoatgw/decisions/balancer.py
+++ b/stoatgw/decisions/balancer.py
@@ -45,7 +45,6 @@
 DOUBT_US, TOLD_US = 5_000_000, 8_000_000  # a silent one puts its zone in doubt; a restart seen is told
 LOG_EVERY_US = 10_000_000  # each kind of log line at most so often
 
-NEVER_RAN = (Status.SHED, Status.DIAL_FAILED, Status.UNUSED)
 
 
 class Balancer:
@@ -372,7 +371,7 @@
             elif event.status is Status.REVOKED and not connection.moving and not connection.abandoned:
                 # It sends its clients away: it drains, seconds before the list says so.
                 server.ejected_until_us = self._now_us + EJECT_MOST * PERIOD_US
-            if event.status not in NEVER_RAN and connection.first_run is None:
+            if not event.status.never_ran and connection.first_run is None:
                 connection.first_run = (server.entry, connection.sent_us)
         over = event.final or connection.standing or connection.abandoned
         (self._end if over else self._place)(connection)
--- a/stoatgw/decisions/interface.py
+++ b/stoatgw/decisions/interface.py
@@ -59,6 +59,11 @@
     REVOKED = "revoked"
     UNUSED = "unused"
 
+    @property
+    def never_ran(self) -> bool:
+        """Whether it proves that the attempt did not run and will not."""
+        return self in (Status.SHED, Status.DIAL_FAILED, Status.UNUSED)
+
 
 class NoteKind(Enum):
     """What a note about a running attempt tells."""
--- a/stoatgw/owner/messages.py
+++ b/stoatgw/owner/messages.py
@@ -74,6 +74,8 @@
     out: int | None = None  # number of the fetch that is out
     server: str = ""
     sent_us: int = 0
+    ran_us: int | None = None  # when the first fetch that may have run was sent
+    repeat_by_us: int = 0  # the next fetch sends no line later than that; 0: at any time
     up: bool = False
     answered: bool = False  # final answer given, or nobody waits for it
     orphan: bool = False  # the decisions lost it in a fault
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -24,6 +24,7 @@
     Fail,
     FetchList,
     Idempotency,
+    KeyScope,
     ListUpdate,
     Log,
     Move,
@@ -65,6 +66,7 @@
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 
+REPEAT_GUARD_US = 20_000  # a repeat's line leaves so long before its window ends, at the latest
 GOLDEN = 0.6180339887  # steps of this part of a span, over and over, never fall close together
 
 
@@ -176,7 +178,7 @@
                 if not req.answered:
                     self._counters.add("answers_overdue")
                     self._tell(ClientGone(req.asked.request))
-                    self._fail(req)
+                    self._end_waiting(req)
             case Drain():
                 self._drain(message)
             case SendAway(req):
@@ -222,6 +224,8 @@
         if req.out != attempt:
             return
         req.out = None
+        if req.ran_us is None and not end.status.never_ran:
+            req.ran_us = req.sent_us
         self._counters.add(f"fetches_{end.status.value}")
         final = req.answered or req.up
         spent_us = self._now_us - req.sent_us
@@ -292,6 +296,9 @@
             return
         req.attempts, req.out, req.server, req.sent_us = attempt + 1, attempt, server, self._now_us
         self._counters.add("fetches")
+        profile = self._settings.profiles[req.asked.profile]
+        if req.ran_us is not None and profile.idempotency is Idempotency.DEDUP:
+            req.repeat_by_us = max(1, req.ran_us + profile.key_ttl_us - REPEAT_GUARD_US)
         req.door.fetch(attempt, server, cut_at_us)
 
     def _refuse(self, req: Req, retry_after_us: int) -> None:
@@ -332,14 +339,20 @@
 
     def _answer_waiting(self) -> None:
         for req in [req for req in self._reqs.values() if not req.answered]:
-            profile = self._settings.profiles[req.asked.profile]
-            if req.attempts == 0 or profile.idempotency is Idempotency.RETRYABLE:
-                self._refuse(req, self._elsewhere_us())
-            else:
-                self._fail(req)
+            self._end_waiting(req)
             if req.out is None:
                 self._tell(ClientGone(req.asked.request))  # it may wait for probes
 
+    def _end_waiting(self, req: Req) -> None:
+        """Without an answer of a backend: a refusal where a repeat is known to be harmless, else a failure."""
+        profile = self._settings.profiles[req.asked.profile]
+        dedup = profile.idempotency is Idempotency.DEDUP and profile.key_scope is KeyScope.ALL
+        never_ran = req.ran_us is None and req.out is None
+        if never_ran or (self._draining and (dedup or profile.idempotency is Idempotency.RETRYABLE)):
+            self._refuse(req, self._elsewhere_us())
+        else:
+            self._fail(req)
+
     def _vacate(self, server: str, out: bool, over_us: int) -> None:
         """Nobody waits for its restart to be cut off: the list does not tell it to send its clients away."""
         for handle in self._vacating.pop(server, []):
--- a/stoatgw/owner/stopping.py
+++ b/stoatgw/owner/stopping.py
@@ -12,6 +12,7 @@
 SERVE_US = 800_000  # who comes or waits is served for so long: newcomers, and some who were slow to ask
 HANDOVER_FIRST_US, HANDOVER_OVER_US = 50_000, 1_600_000
 LEAST_US = 1_000_000  # a plain stop answers newcomers for so long, though nobody stands
+END_US, ANSWER_US = 500_000, 100_000  # the end comes so long after the longest deadline; the last answers before it
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,5 +35,6 @@
     if handed_over:
         over_us = min(HANDOVER_OVER_US, max(0, longest_us - HANDOVER_FIRST_US))
         return Stopping(Drain(HANDOVER_FIRST_US, over_us, longest_us), 0, longest_us + 400_000)
-    drain = Drain(NEWCOMERS_US, max(0, longest_us - NEWCOMERS_US), SERVE_US)
-    return Stopping(drain, LEAST_US, max(LEAST_US, longest_us + 500_000))
+    most_us = longest_us + END_US
+    drain = Drain(NEWCOMERS_US, max(0, longest_us - NEWCOMERS_US), min(SERVE_US, most_us - ANSWER_US))
+    return Stopping(drain, min(LEAST_US, most_us), most_us)
--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -37,6 +37,7 @@
 if TYPE_CHECKING:
     from stoatgw.config.operators import Operators
 
+LAST_LOOK_US = 50_000  # the backlog is emptied so long before the earliest end
 CALLERS_KEPT = 36  # descriptors of the second address, where there is one: its callers and its listener
 
 
@@ -204,7 +205,11 @@
     end, began = stopping(settings, handed_over=handed), clock.now_us()
     owner.put(end.drain)
     leaving = loop.create_task(agent.leave()) if agent is not None else None
+    listening = not handed
     while (passed_us := clock.now_us() - began) < end.most_us:
+        if listening and passed_us >= end.least_us - LAST_LOOK_US:
+            listening = False
+            await listener.end()
         if passed_us >= end.least_us and not listener.open:
             break
         await asyncio.sleep(0.02)
--- a/stoatgw/sockets/calls.py
+++ b/stoatgw/sockets/calls.py
@@ -47,16 +47,41 @@
         loop.remove_reader(sock.fileno())
 
 
+async def send_whole(sock: socket.socket, data: bytes) -> None:
+    """Send all; whoever is cancelled or raises in here has not sent the last byte. Raises OSError.
+
+    The loop's own sock_sendall may write it in one turn and tell of it in the next: a time-out between the two
+    would take a line that may run for one that never ran.
+    """
+    loop, left = asyncio.get_running_loop(), memoryview(data)
+    while True:
+        with contextlib.suppress(BlockingIOError, InterruptedError):
+            left = left[sock.send(left) :]
+        if not left:
+            return
+        woken = asyncio.Event()
+        loop.add_writer(sock.fileno(), woken.set)
+        try:
+            await woken.wait()
+        finally:
+            loop.remove_writer(sock.fileno())
+
+
 async def accept(sock: socket.socket) -> socket.socket:
     """The next connection, ready for use; one that another process took first is waited for anew. Raises OSError."""
     while True:
         await readable(sock)
         with contextlib.suppress(BlockingIOError, InterruptedError):
-            peer, _ = sock.accept()
-            peer.setblocking(False)
-            with contextlib.suppress(OSError):  # it has gone already, which its first read will tell
-                peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            return peer
+            return accepted(sock)
+
+
+def accepted(sock: socket.socket) -> socket.socket:
+    """A connection that waits to be accepted, ready for use. Raises OSError, BlockingIOError where none does."""
+    peer, _ = sock.accept()
+    peer.setblocking(False)
+    with contextlib.suppress(OSError):  # it has gone already, which its first read will tell
+        peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return peer
 
 
 def close(sock: socket.socket, *, reset: bool = False) -> None:
@@ -68,13 +93,13 @@
         sock.close()
 
 
-async def close_after(sock: socket.socket, line: bytes, wait_s: float) -> None:
+async def close_after(sock: socket.socket, line: bytes, wait_s: float, most_bytes: int = SCRAP_MOST) -> None:
     """Send a last line, end our side, and close when the peer has ended its own.
 
     A plain close with bytes unread would reset the connection and could take the line with it. But a peer
     that sends without end is worth only so many bytes and so much time.
     """
-    loop, left = asyncio.get_running_loop(), SCRAP_MOST
+    loop, left = asyncio.get_running_loop(), most_bytes
     try:
         async with asyncio.timeout(wait_s):
             if line:
@@ -92,5 +117,7 @@
     """A last line and the end at once, for a connection that there is no room to wait for."""
     with contextlib.suppress(OSError):
         sock.send(line)
-        sock.recv_into(_SCRAP)  # unread, it would turn the end into a reset
+        for _ in range(SCRAP_MOST // len(_SCRAP)):  # unread, it would turn the end into a reset
+            if not sock.recv_into(_SCRAP):
+                break
     close(sock)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -186,6 +186,14 @@
         assert plan.drain.newcomers_us >= 400_000 and last_us >= kill_us - 800_000
 
 
+@pytest.mark.parametrize("deadline_us", [50_000, 100_000, 300_000])
+def test_a_stop_with_short_deadlines_is_over_before_the_kill(deadline_us: int) -> None:
+    """Guards against a process that served until 1 s after SIGTERM and was killed at 0.8 s."""
+    plan = stopping(settings(profiles=(Profile(20_000, deadline_us),)), handed_over=False)
+    assert plan.least_us <= plan.most_us < deadline_us + 700_000
+    assert plan.drain.newcomers_us + plan.drain.over_us < plan.most_us > plan.drain.serve_us > plan.drain.newcomers_us
+
+
 def test_those_who_stand_are_moved_ever_faster_and_who_comes_at_first_is_served() -> None:
     """Who is moved late is served the longer; who still comes is not refused three times and lost."""
 
