--- a/stoatgw/decisions/cold.py
+++ b/stoatgw/decisions/cold.py
@@ -13,7 +13,9 @@
 CAUTION, GROUP = 0.5, 1.0  # used part of the budget; what a cold server pays for a new group
 SETUP_US = 80_000  # work of a set-up, and half as much again: servers fell at 22 to 47 a second, none at 12
 MANY = 1.3  # many balancers use so many times the part, in a round
-SPAN_US = 8_000_000  # so long our place among many waits for a request of ours
+# So long our place among many waits for a request of ours: those alive at once are little more than one budget, which
+# a storm after a quiet time would send in one window. With 8 s the sum was over N + 2 * root of N + 2.
+SPAN_US = 2_000_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatgw/emulator/checker.py
+++ b/stoatgw/emulator/checker.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -47,6 +48,7 @@
     drain_grace_us: int
     fall_multiple: float
     fall_us: int
+    chance: Callable[[float], float] = lambda budget: COLD_SLACK  # units beyond the budget that may be chance
     slack_us: int = 50_000  # an answer may come so long after the deadline
     cut_us: int = 1_000_000  # an end of one side may take so long to be mirrored
 
@@ -187,7 +189,8 @@
         while cold.ran[0][0] <= event.t_us - figures.fall_us:
             cold.ran.popleft()
         share = cold.cold_from + (1.0 - cold.cold_from) * age_us / cold.cold_us
-        most = figures.fall_multiple * share * cold.full_units * figures.fall_us / cold.cold_us + COLD_SLACK
+        budget = figures.fall_multiple * share * cold.full_units * figures.fall_us / cold.cold_us
+        most = budget + figures.chance(budget)
         total = sum(units for _, units, _, _ in cold.ran)
         if total > most:
             cold.fallen = True
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,6 +7,8 @@
 import os
 import subprocess
 import sys
+from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -41,10 +43,15 @@
 
 
 def play(
-    day: Scenario, seed: int = 1, policy: Policy = module, shuffle: int | None = None
+    day: Scenario,
+    seed: int = 1,
+    policy: Policy = module,
+    shuffle: int | None = None,
+    chance: Callable[[float], float] | None = None,
 ) -> tuple[World, Checker, list[Event]]:
     rules, events = day.module, list[Event]()
-    checker = Checker(Figures(int(rules.drain_grace_ms * 1000), rules.fall_multiple, int(rules.fall_ms * 1000)))
+    figures = Figures(int(rules.drain_grace_ms * 1000), rules.fall_multiple, int(rules.fall_ms * 1000))
+    checker = Checker(replace(figures, chance=chance) if chance is not None else figures)
     world = World(day, seed, EventSink((checker.feed, events.append)), policy, shuffle)
     world.run()
     checker.finish(world.realm.length_us + AFTER_US)
@@ -294,13 +301,7 @@
 # Whole days.
 
 
-# Known and open (docs/fleet.md): among 60 servers a storm sends a cold one a unit or two over what the checker
-# allows. Strict: once mended, the mark has to go.
-OVER_BUDGET = pytest.mark.xfail(strict=True, reason="the cold budget at 40 proxies and 60 servers")
-JUDGED = [pytest.param(name, marks=OVER_BUDGET if name in ("fleet-herd", "fleet-join") else ()) for name in SCENARIOS]
-
-
-@pytest.mark.parametrize("name", JUDGED)
+@pytest.mark.parametrize("name", SCENARIOS)
 def test_every_scenario_keeps_the_rules(name: str) -> None:
     world, checker, events = play(scenario(name))
     assert [str(each) for each in checker.broken] == []
@@ -308,6 +309,20 @@
     assert any(event.what is What.FAULT for event in events) or name == "calm"
 
 
+FLEETS = [("fleet-join", 20), ("fleet-join", 30), ("fleet-join", 40), ("fleet-herd", 40)]
+
+
+@pytest.mark.parametrize(("name", "count"), FLEETS)
+def test_all_proxies_together_keep_a_cold_servers_budget_but_for_chance(
+    name: str, count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """By the operators' words: beyond the budget N only 2 * root of N + 2 is chance. In fleet-herd 28 proxies die."""
+    monkeypatch.setattr("stoatgw.emulator.machine.COLD_SLACK", 1e9)  # none falls: all that is sent is seen
+    _, checker, _ = play(scenario(name, f"proxies.count={count}"), chance=lambda budget: 2 * budget**0.5 + 2)
+    assert [str(each) for each in checker.broken if "units within the window" in each.why] == []
+    assert checker.counts["ran"] > 500
+
+
 @pytest.mark.parametrize("policy", [floor, top])
 def test_the_measures_keep_the_rules_too(policy: Policy) -> None:
     for name in ("grow", "crashes"):
