--- a/stoatgw/backends/fetch.py
+++ b/stoatgw/backends/attempt.py
@@ -1,4 +1,4 @@
-"""One fetch: a connection to a backend for one client. Its end is a value, never an exception."""
+"""One attempt: a connection to a backend for one client. Its end is a value, never an exception."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from stoatgw.lines.grammar import Word, read_reply
 from stoatgw.lines.splitter import Splitter
 from stoatgw.owner.clock import Clock
-from stoatgw.owner.messages import FetchEnd, Stage
+from stoatgw.owner.messages import AttemptEnd, Stage
 from stoatgw.sockets import calls
 
 BUFFER = 8192  # bytes read at once
@@ -35,7 +35,7 @@
     def pass_on(self, data: bytes) -> Awaitable[None]: ...
 
 
-class Fetch:
+class Attempt:
     def __init__(
         self, backend: Backend, clock: Clock, dial_us: int, grace_us: int, row: Row, sent: Callable[[], None]
     ) -> None:
@@ -49,7 +49,7 @@
         self.receipt = b""  # the UP line and what came with it, as it came
         self.reset = False  # the backend ended with a reset
 
-    async def open(self, line: Callable[[int], bytes], cut_at_us: int, begin_by_us: int = 0) -> FetchEnd | None:
+    async def open(self, line: Callable[[int], bytes], cut_at_us: int, begin_by_us: int = 0) -> AttemptEnd | None:
         """Connect, send the line, wait for UP. None: it is up. `begin_by_us`: no line is sent later; 0: at any time."""
         loop = asyncio.get_running_loop()
         try:
@@ -83,7 +83,7 @@
             status = Status.DROPPED if self.stage is Stage.SENT else Status.DIAL_FAILED
             return self._end(status, str(error))
 
-    async def _first(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> FetchEnd | None:
+    async def _first(self, loop: asyncio.AbstractEventLoop, sock: socket.socket) -> AttemptEnd | None:
         while True:
             data = await loop.sock_recv(sock, BUFFER)
             if not data:
@@ -101,7 +101,7 @@
             if self._splitter.overlong:
                 return self._end(Status.APP_ERROR, "overlong line")
 
-    async def relay(self, listener: Listener) -> FetchEnd:
+    async def relay(self, listener: Listener) -> AttemptEnd:
         """Pass all on until the backend ends the connection."""
         loop = asyncio.get_running_loop()
         assert self._sock is not None  # it is up
@@ -142,5 +142,5 @@
         if self._sock is not None:
             await calls.close_after(self._sock, b"", wait_s, PARTING_MOST)
 
-    def _end(self, status: Status, why: str, report: dict[str, float] | None = None) -> FetchEnd:
-        return FetchEnd(status, self.stage, why, self._row(report) if report else ())
+    def _end(self, status: Status, why: str, report: dict[str, float] | None = None) -> AttemptEnd:
+        return AttemptEnd(status, self.stage, why, self._row(report) if report else ())
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -9,9 +9,9 @@
 from enum import Enum
 from functools import partial
 
+from stoatgw.backends.attempt import BUFFER, Attempt
 from stoatgw.backends.backend import Backend
 from stoatgw.backends.delays import Messages
-from stoatgw.backends.fetch import BUFFER, Fetch
 from stoatgw.clients.house import House, Standing
 from stoatgw.clients.opening import Opening
 from stoatgw.decisions.interface import Request, Status
@@ -28,10 +28,10 @@
 from stoatgw.lines.splitter import Splitter
 from stoatgw.owner.messages import (
     Arrived,
+    AttemptEnd,
+    AttemptEnded,
+    AttemptUp,
     ClientLeft,
-    FetchEnd,
-    FetchEnded,
-    FetchUp,
     Heard,
     Req,
     Stage,
@@ -79,10 +79,10 @@
         self._open: Open | None = None
         self._up = False  # UP is on its way to the client, or has come there: the one answer
         self._early = bytearray()
-        self._fetch: Fetch | None = None  # the one that is up
-        self._parting: Fetch | None = None  # was up, and our sending there is ended
-        self._fetching: asyncio.Task[None] | None = None
-        self._began = -1  # the last fetch whose task ran at all
+        self._attempt: Attempt | None = None  # the one that is up
+        self._parting: Attempt | None = None  # was up, and our sending there is ended
+        self._attempting: asyncio.Task[None] | None = None
+        self._began = -1  # the last attempt whose task ran at all
         self._messages = Messages()
         self._between_lines = True  # on the way to the client
         self._move_asked = False
@@ -147,7 +147,7 @@
         self._house.figures.concurrent += 1
         if opened.at is not None:
             self._house.counters.add("requests_standing")
-            self._fetching = loop.create_task(self._restore(req, opened, opened.at))
+            self._attempting = loop.create_task(self._restore(req, opened, opened.at))
         else:
             self._house.counters.add("requests")
             owner.put(Arrived(req))
@@ -159,8 +159,8 @@
             await _stop(reader)
             if not self._end.done() or self._end.result().cause in GONE:
                 owner.put(ClientLeft(req))
-            if self._fetching is not None:
-                await _stop(self._fetching)
+            if self._attempting is not None:
+                await _stop(self._attempting)
         return end
 
     def _ask(self, opened: Open) -> Req:
@@ -186,29 +186,29 @@
 
     # The owner's side: see Door.
 
-    def fetch(self, attempt: int, server: str, cut_at_us: int) -> None:
+    def begin(self, number: int, server: str, cut_at_us: int) -> None:
         req = self._req
         if req is None:
             return
         if self._end.done():
             # Guards against a client that left before the owner's turn: its line would run for nobody.
-            gone = FetchEnd(Status.REVOKED, Stage.CONNECTING, "its client has gone")
-            self._house.owner.put(FetchEnded(req, attempt, gone))
+            gone = AttemptEnd(Status.REVOKED, Stage.CONNECTING, "its client has gone")
+            self._house.owner.put(AttemptEnded(req, number, gone))
             return
-        self._fetching = asyncio.get_running_loop().create_task(
-            self._run_fetch(req, attempt, server, cut_at_us, self._fetching)
+        self._attempting = asyncio.get_running_loop().create_task(
+            self._run_attempt(req, number, server, cut_at_us, self._attempting)
         )
-        self._fetching.add_done_callback(partial(self._never_begun, req, attempt))
+        self._attempting.add_done_callback(partial(self._never_begun, req, number))
 
-    def _never_begun(self, req: Req, attempt: int, _: asyncio.Task[None]) -> None:
+    def _never_begun(self, req: Req, number: int, _: asyncio.Task[None]) -> None:
         """A task that is cancelled before its first step runs no code of its own: its end is told all the same."""
-        if self._began != attempt:
-            given_up = FetchEnd(Status.REVOKED, Stage.CONNECTING, "never begun")
-            self._house.owner.put(FetchEnded(req, attempt, given_up))
+        if self._began != number:
+            given_up = AttemptEnd(Status.REVOKED, Stage.CONNECTING, "never begun")
+            self._house.owner.put(AttemptEnded(req, number, given_up))
 
-    def cancel(self, attempt: int) -> None:
-        if self._fetching is not None:
-            self._fetching.cancel()
+    def cancel(self, number: int) -> None:
+        if self._attempting is not None:
+            self._attempting.cancel()
 
     def _count(self, verdict: Verdict) -> None:
         """The request's one answer, counted once; nothing for a client that left before it."""
@@ -244,123 +244,123 @@
 
     # The backend's side.
 
-    async def _run_fetch(
-        self, req: Req, attempt: int, server: str, cut_at_us: int, before: asyncio.Task[None] | None
+    async def _run_attempt(
+        self, req: Req, number: int, server: str, cut_at_us: int, before: asyncio.Task[None] | None
     ) -> None:
-        house, end, fetch = self._house, FetchEnd(Status.REVOKED, Stage.CONNECTING, "given up"), None
-        self._began = attempt
+        house, end, attempt = self._house, AttemptEnd(Status.REVOKED, Stage.CONNECTING, "given up"), None
+        self._began = number
         try:
             if before is not None and not before.done():
                 await asyncio.wait([before])  # never two at a time
             backend, opened = house.backends.get(server), self._open
             if backend is None or opened is None:
-                end = FetchEnd(Status.DIAL_FAILED, Stage.CONNECTING, "no such backend")
+                end = AttemptEnd(Status.DIAL_FAILED, Stage.CONNECTING, "no such backend")
                 return
-            fetch = self._make_fetch(backend, house.deployment.dial_timeout_us)
-            ended = await fetch.open(opened.forwarded, cut_at_us, req.repeat_by_us)
+            attempt = self._make_attempt(backend, house.deployment.dial_timeout_us)
+            ended = await attempt.open(opened.forwarded, cut_at_us, req.repeat_by_us)
             if ended is None and self._end.done():
                 # Guards against UP passed on behind another answer, or for a client that has gone.
-                ended = FetchEnd(Status.REVOKED, Stage.UP, "its client was answered meanwhile")
+                ended = AttemptEnd(Status.REVOKED, Stage.UP, "its client was answered meanwhile")
             if ended is None:
-                house.owner.put(FetchUp(req, attempt))
-                ended = await self._stand(req, fetch, server)
+                house.owner.put(AttemptUp(req, number))
+                ended = await self._stand(req, attempt, server)
             end = ended
         except asyncio.CancelledError:
-            end = FetchEnd(self._given_up, fetch.stage if fetch else Stage.CONNECTING, "given up")
+            end = AttemptEnd(self._given_up, attempt.stage if attempt else Stage.CONNECTING, "given up")
             raise
         except Exception as fault:
-            stage = fetch.stage if fetch else Stage.CONNECTING
+            stage = attempt.stage if attempt else Stage.CONNECTING
             ran = stage in (Stage.SENT, Stage.UP)
-            end = FetchEnd(Status.DROPPED if ran else Status.UNUSED, stage, repr(fault))
+            end = AttemptEnd(Status.DROPPED if ran else Status.UNUSED, stage, repr(fault))
             house.counters.add("fetch_faults")
             house.log.event("fetch_fault", error=repr(fault))
         finally:
-            self._close(req, fetch)
+            self._close(req, attempt)
             if end.status not in (Status.DELIVERED, Status.REVOKED):
                 house.log.event(
                     "fetch_ended", id=req.asked.request, backend=server, status=end.status.value,
                     stage=end.stage.value, why=end.why,
                 )  # fmt: skip
-            house.owner.put(FetchEnded(req, attempt, end))
+            house.owner.put(AttemptEnded(req, number, end))
             if end.stage is Stage.UP:
-                self._finish(End(Cause.BACKEND_ENDED, reset=fetch is not None and fetch.reset))
+                self._finish(End(Cause.BACKEND_ENDED, reset=attempt is not None and attempt.reset))
 
     async def _restore(self, req: Req, opened: Open, server: str) -> None:
         """A connection that stood before: back to its backend, also where the list or the backend is late."""
         house, loop = self._house, asyncio.get_running_loop()
         until_us = house.clock.now_us() + int(RESTORE_S * 1e6)
-        end: FetchEnd | None = FetchEnd(Status.DIAL_FAILED, Stage.CONNECTING, "not listed")
-        fetch: Fetch | None = None
+        end: AttemptEnd | None = AttemptEnd(Status.DIAL_FAILED, Stage.CONNECTING, "not listed")
+        attempt: Attempt | None = None
         stood = False
         try:
             while house.clock.now_us() < until_us:
                 backend = house.backends.get(server)
                 if backend is not None:
-                    fetch = self._make_fetch(backend, RESTORE_DIAL_US)
-                    end = await fetch.open(lambda _: opened.line + b"\r\n", until_us)
+                    attempt = self._make_attempt(backend, RESTORE_DIAL_US)
+                    end = await attempt.open(lambda _: opened.line + b"\r\n", until_us)
                     if end is None:
                         stood = True
                         house.owner.put(Stood(req, server))
-                        end = await self._stand(req, fetch, server)
+                        end = await self._stand(req, attempt, server)
                         break
-                    self._close(req, fetch)
+                    self._close(req, attempt)
                     if end.status not in (Status.DIAL_FAILED, Status.SHED):
                         break  # it may have run: not again
                 await asyncio.sleep(RESTORE_PAUSE_S)
         except asyncio.CancelledError:
-            end = FetchEnd(self._given_up, Stage.UP, "given up")
+            end = AttemptEnd(self._given_up, Stage.UP, "given up")
             raise
         except Exception as fault:
             house.counters.add("fetch_faults")
             house.log.event("fetch_fault", error=repr(fault))
         finally:
-            self._close(req, fetch)
+            self._close(req, attempt)
             if stood:
-                owner_end = end or FetchEnd(Status.DROPPED, Stage.UP, "fault")
-                house.owner.put(FetchEnded(req, 0, owner_end))
-                self._finish(End(Cause.BACKEND_ENDED, reset=fetch is not None and fetch.reset))
+                owner_end = end or AttemptEnd(Status.DROPPED, Stage.UP, "fault")
+                house.owner.put(AttemptEnded(req, 0, owner_end))
+                self._finish(End(Cause.BACKEND_ENDED, reset=attempt is not None and attempt.reset))
             else:
                 house.counters.add("standing_lost")
                 house.log.event("standing_lost", id=opened.request, why=end.why if end else "fault")
                 loop.call_soon(self.fail)
 
-    def _make_fetch(self, backend: Backend, dial_us: int) -> Fetch:
+    def _make_attempt(self, backend: Backend, dial_us: int) -> Attempt:
         house = self._house
         grace_us = house.deployment.settings.drain_grace_us
-        return Fetch(backend, house.clock, dial_us, grace_us, house.row, self._dispatched)
+        return Attempt(backend, house.clock, dial_us, grace_us, house.row, self._dispatched)
 
     def _dispatched(self) -> None:
         self._house.figures.dispatches += 1
 
-    async def _stand(self, req: Req, fetch: Fetch, server: str) -> FetchEnd:
+    async def _stand(self, req: Req, attempt: Attempt, server: str) -> AttemptEnd:
         """Up: pass UP on, then all lines both ways until the backend ends."""
         house = self._house
         house.counters.add("answers_up")
         house.standing[req.asked.request] = Standing(req, server, self._messages, self.give_up)
         self._up = True
         self._count(Verdict.SUCCESS)
-        await self.pass_on(fetch.receipt)
+        await self.pass_on(attempt.receipt)
         while self._early:  # more may come while these are sent
             data = bytes(self._early)
             self._early.clear()
             self._heard_client(data)
-            await fetch.send(data)
-        self._fetch = fetch
-        return await fetch.relay(self)
+            await attempt.send(data)
+        self._attempt = attempt
+        return await attempt.relay(self)
 
-    def _close(self, req: Req, fetch: Fetch | None) -> None:
-        self._fetch = None
+    def _close(self, req: Req, attempt: Attempt | None) -> None:
+        self._attempt = None
         self._house.standing.pop(req.asked.request, None)
-        if fetch is None:
+        if attempt is None:
             return
         end = self._end.result() if self._end.done() else None
         politely = end is not None and end.cause in (Cause.CLIENT_LEFT, Cause.MOVED) and not end.reset
-        if fetch.stage is Stage.UP and politely:
+        if attempt.stage is Stage.UP and politely:
             # Closed over unread bytes, it would be reset, and the client's last lines might go with that.
-            fetch.half_close()
-            self._parting = fetch
+            attempt.half_close()
+            self._parting = attempt
         else:
-            fetch.close(reset=end is not None and end.reset)
+            attempt.close(reset=end is not None and end.reset)
 
     def heard(self, lines: list[bytes]) -> None:
         now_us, house = self._house.clock.now_us(), self._house
@@ -398,14 +398,14 @@
                     self._count(Verdict.ERROR)
                     self._finish(End(Cause.UNRULY, error("more came before UP")))
                     return
-                if self._fetch is None:
+                if self._attempt is None:
                     self._early += data
                     if len(self._early) > EARLY_CAP:
                         raise ConnectionError("too much before UP")
                     continue
                 self._heard_client(data)
                 try:
-                    await self._fetch.send(data)
+                    await self._attempt.send(data)
                 except OSError:
                     # The backend's last lines may still be on their way to the client.
                     await asyncio.sleep(BOUNDARY_S)
--- a/stoatgw/emulator/doors.py
+++ b/stoatgw/emulator/doors.py
@@ -1,7 +1,7 @@
 """A client's session at a modelled proxy, from its line to its end: the door that the owner acts through.
 
 It goes through the same stages as a session on sockets (connecting, sending, sent, up) and gives the owner the
-same values at the same points; `stoatgw/clients/session.py` and `stoatgw/backends/fetch.py` are its measure.
+same values at the same points; `stoatgw/clients/session.py` and `stoatgw/backends/attempt.py` are its measure.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from stoatgw.emulator.events import What
 from stoatgw.emulator.machine import Held, Life, Machine
 from stoatgw.emulator.population import Client
-from stoatgw.owner.messages import Arrived, ClientLeft, FetchEnd, FetchEnded, FetchUp, Req, Stage
+from stoatgw.owner.messages import Arrived, AttemptEnd, AttemptEnded, AttemptUp, ClientLeft, Req, Stage
 
 if TYPE_CHECKING:
     from stoatgw.emulator.virtual import Proxy, World
@@ -83,7 +83,7 @@
 
     # The owner's side: see Door.
 
-    def fetch(self, attempt: int, server: str, cut_at_us: int) -> None:
+    def begin(self, attempt: int, server: str, cut_at_us: int) -> None:
         self._attempt, self._stage = attempt, Stage.CONNECTING
         if self._ended:
             self._tell_end(Status.REVOKED, "its client has gone")
@@ -213,7 +213,7 @@
         self._realm.log(What.ENDED, self.proxy.name, self.name, server, self._attempt, "up")
         self._answer("up", 0)
         self._realm.log(What.UP, self.proxy.name, self.name, server, detail=str(self.client.index))
-        self.proxy.owner.put(FetchUp(self.req, self._attempt))
+        self.proxy.owner.put(AttemptUp(self.req, self._attempt))
         if self.machine.life is Life.DRAINING:  # it sent all away while this UP was on its way
             self.server_ends("MOVE", Status.REVOKED)
 
@@ -242,7 +242,7 @@
         self._tell_end(status, why)
 
     def _tell_end(self, status: Status, why: str) -> None:
-        self.proxy.owner.put(FetchEnded(self.req, self._attempt, FetchEnd(status, self._stage, why)))
+        self.proxy.owner.put(AttemptEnded(self.req, self._attempt, AttemptEnd(status, self._stage, why)))
 
     def _let_go(self, machine: Machine) -> None:
         """Our side of the server's connection ends; it notices one way later."""
--- a/stoatgw/owner/clock.py
+++ b/stoatgw/owner/clock.py
@@ -1,6 +1,6 @@
 """The one clock: Unix time, read once, and moved on by the monotonic clock.
 
-Steps of the system's clock must not cut a fetch short or age a server.
+Steps of the system's clock must not cut an attempt short or age a server.
 """
 
 from __future__ import annotations
--- a/stoatgw/owner/messages.py
+++ b/stoatgw/owner/messages.py
@@ -11,7 +11,7 @@
 
 
 class Stage(Enum):
-    """How far a fetch had come; it decides whether the req may have run."""
+    """How far an attempt had come; it decides whether the req may have run."""
 
     CONNECTING = "connecting"
     SENDING = "sending"
@@ -20,8 +20,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FetchEnd:
-    """How a fetch ended, as a value: its status, how far it had come, and why."""
+class AttemptEnd:
+    """How an attempt ended, as a value: its status, how far it had come, and why."""
 
     status: Status
     stage: Stage
@@ -30,11 +30,11 @@
 
 
 class Door(Protocol):
-    """The client's side of a req: where its fetches start and its answer goes."""
+    """The client's side of a req: where its attempts begin and its answer goes."""
 
-    def fetch(self, attempt: int, server: str, cut_at_us: int) -> None: ...
+    def begin(self, number: int, server: str, cut_at_us: int) -> None: ...
 
-    def cancel(self, attempt: int) -> None: ...
+    def cancel(self, number: int) -> None: ...
 
     def refuse(self, retry_after_us: int) -> None: ...
 
@@ -71,11 +71,11 @@
     deadline_us: int
     door: Door
     attempts: int = 0
-    out: int | None = None  # number of the fetch that is out
+    out: int | None = None  # number of the attempt that is out
     server: str = ""
     sent_us: int = 0
-    ran_us: int | None = None  # when the first fetch that may have run was sent
-    repeat_by_us: int = 0  # the next fetch sends no line later than that; 0: at any time
+    ran_us: int | None = None  # when the first attempt that may have run was sent
+    repeat_by_us: int = 0  # the next attempt sends no line later than that; 0: at any time
     up: bool = False
     answered: bool = False  # final answer given, or nobody waits for it
     orphan: bool = False  # the decisions lost it in a fault
@@ -103,16 +103,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FetchUp:
+class AttemptUp:
     req: Req
     attempt: int
 
 
 @dataclass(frozen=True, slots=True)
-class FetchEnded:
+class AttemptEnded:
     req: Req
     attempt: int
-    end: FetchEnd
+    end: AttemptEnd
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,7 +196,7 @@
 
 
 Message = (
-    Arrived | Stood | FetchUp | FetchEnded | ClientLeft | Heard | Listed | Probed | Due | Overdue | Drain | Unserved
+    Arrived | Stood | AttemptUp | AttemptEnded | ClientLeft | Heard | Listed | Probed | Due | Overdue | Drain | Unserved
     | SendAway | Activate | Vacate | Rebalance
 )
 
--- a/stoatgw/owner/owner.py
+++ b/stoatgw/owner/owner.py
@@ -43,12 +43,12 @@
 from stoatgw.owner.messages import (
     Activate,
     Arrived,
+    AttemptEnd,
+    AttemptEnded,
+    AttemptUp,
     ClientLeft,
     Drain,
     Due,
-    FetchEnd,
-    FetchEnded,
-    FetchUp,
     Fleet,
     Heard,
     Listed,
@@ -149,13 +149,13 @@
                 req.attempts, req.out, req.server, req.sent_us = 1, 0, server, self._now_us
                 self._tell(Existing(req.asked, server))
                 self._move_late(req)
-            case FetchUp(req, attempt):
+            case AttemptUp(req, attempt):
                 if req.out == attempt:
                     req.up = True
                     req.settle()
                     self._tell(Begun(req.asked.request, attempt, req.server, self._now_us - req.sent_us))
                     self._move_late(req)
-            case FetchEnded(req, attempt, end):
+            case AttemptEnded(req, attempt, end):
                 self._ended(req, attempt, end)
             case ClientLeft(req):
                 req.settle()
@@ -220,7 +220,7 @@
         req.overdue = asyncio.get_running_loop().call_later(left_s, self.put, Overdue(req))
         self._tell(req.asked)
 
-    def _ended(self, req: Req, attempt: int, end: FetchEnd) -> None:
+    def _ended(self, req: Req, attempt: int, end: AttemptEnd) -> None:
         if req.out != attempt:
             return
         req.out = None
@@ -238,7 +238,7 @@
             self._fail(req)
 
     def _forget(self, req: Req) -> None:
-        """A record goes once no answer is owed and no fetch is out."""
+        """A record goes once no answer is owed and no attempt is out."""
         if req.answered and req.out is None:
             self._reqs.pop(req.asked.request, None)
 
@@ -299,7 +299,7 @@
         profile = self._settings.profiles[req.asked.profile]
         if req.ran_us is not None and profile.idempotency is Idempotency.DEDUP:
             req.repeat_by_us = max(1, req.ran_us + profile.key_ttl_us - REPEAT_GUARD_US)
-        req.door.fetch(attempt, server, cut_at_us)
+        req.door.begin(attempt, server, cut_at_us)
 
     def _refuse(self, req: Req, retry_after_us: int) -> None:
         req.settle()
@@ -394,7 +394,7 @@
         self._moves.clear()
 
     def _recover(self, error: Exception) -> None:
-        """A fault of the decisions: answer whoever waits without a fetch, begin again with what stands."""
+        """A fault of the decisions: answer whoever waits without an attempt, begin again with what stands."""
         self._counters.add("decision_faults")
         self._log.event("decision_fault", error=repr(error), trace=traceback.format_exc(limit=4))
         self._seed += 1
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -88,19 +88,19 @@
         req = self._reqs[request]
         for attempt in (req.attempts, req.attempts + 1):
             req.attempts, req.out, req.server, req.sent_us = attempt + 1, attempt, server, self._now_us
-            self._clock_door(req).fetch(attempt, server, req.deadline_us)  # type: ignore[attr-defined]
+            self._clock_door(req).begin(attempt, server, req.deadline_us)  # type: ignore[attr-defined]
 
-    fetch = Session.fetch
+    begin = Session.begin
 
     def both(self: Session, attempt: int, server: str, cut_at_us: int) -> None:
         machine = self.machine
-        fetch(self, attempt, server, cut_at_us)
+        begin(self, attempt, server, cut_at_us)
         if machine is not None:  # the first goes on beside the second
             self._realm.log(What.SENT, self.proxy.name, self.name, machine.draw.name, attempt - 1)
 
     monkeypatch.setattr(Owner, "_clock_door", lambda self, req: req.door, raising=False)
     monkeypatch.setattr(Owner, "_send", send_again)
-    monkeypatch.setattr(Session, "fetch", both)
+    monkeypatch.setattr(Session, "begin", both)
     assert Rule.ONE_ATTEMPT in rules_broken("calm")
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,11 +11,11 @@
 import pytest
 import uvloop
 
+from stoatgw.backends.attempt import Attempt
 from stoatgw.backends.backend import Backend
-from stoatgw.backends.fetch import Fetch
 from stoatgw.clients.room import DESCRIPTORS_KEPT, Room
 from stoatgw.decisions.interface import Idempotency, KeyScope, Profile, Status
-from stoatgw.owner.messages import Arrived, Drain, FetchEnd, FetchEnded, FetchUp, Message, Overdue, Stage
+from stoatgw.owner.messages import Arrived, AttemptEnd, AttemptEnded, AttemptUp, Drain, Message, Overdue, Stage
 from stoatgw.owner.owner import REPEAT_GUARD_US, Owner
 from stoatgw.sockets import calls
 from stoatgw.telemetry.log import EventLog
@@ -41,7 +41,7 @@
         put = proxy.owner.put
 
         def crossed(message: Message) -> None:
-            if isinstance(message, FetchUp):
+            if isinstance(message, AttemptUp):
                 put(Overdue(message.req))
             put(message)
 
@@ -59,14 +59,14 @@
 
 def test_an_answer_given_as_up_comes_is_the_only_one(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(proxy: Proxy) -> None:
-        real = Fetch.open
+        real = Attempt.open
 
-        async def crossed(self: Fetch, *args: Any) -> FetchEnd | None:
+        async def crossed(self: Attempt, *args: Any) -> AttemptEnd | None:
             end = await real(self, *args)
             next(iter(proxy.owner._reqs.values())).door.fail()
             return end
 
-        monkeypatch.setattr(Fetch, "open", crossed)
+        monkeypatch.setattr(Attempt, "open", crossed)
         assert await rest(await proxy.ask()) == b"ERR failed\r\n"
         await proxy.settle()
 
@@ -98,12 +98,12 @@
         clock, sock = SimpleNamespace(now_us=lambda: 0), Piecewise()
         sock.setblocking(False)
         monkeypatch.setattr(calls, "make", lambda: sock)
-        fetch = Fetch(Backend("s", "127.0.0.1", port), clock, 10**6, 0, lambda row: (), lambda: None)  # type: ignore[arg-type]
+        fetch = Attempt(Backend("s", "127.0.0.1", port), clock, 10**6, 0, lambda row: (), lambda: None)  # type: ignore[arg-type]
         task = asyncio.create_task(fetch.open(lambda _: LINE, 200_000))
         sock.full = task.cancel if why == "cancel" else lambda: None
         await asyncio.wait([task])
         if why == "time":
-            assert task.result() == FetchEnd(Status.EXPIRED, Stage.SENT, "timed out")
+            assert task.result() == AttemptEnd(Status.EXPIRED, Stage.SENT, "timed out")
         assert fetch.stage is Stage.SENT
         fetch.close()
         server.close()
@@ -119,7 +119,7 @@
         backend = proxy.backends.get("s")
         assert backend is not None
         now_us = proxy.clock.now_us()
-        fetch = Fetch(backend, proxy.clock, 10**6, 0, lambda row: (), lambda: None)
+        fetch = Attempt(backend, proxy.clock, 10**6, 0, lambda row: (), lambda: None)
         end = await fetch.open(lambda _: LINE, now_us + 10**6, now_us)
         assert end is not None and (end.status, end.stage) == (Status.DIAL_FAILED, Stage.CONNECTING)
         fetch.close()
@@ -146,7 +146,7 @@
         req, door = stand.req()
         await stand.take(Arrived(req))
         for attempt, status in enumerate(statuses):
-            await stand.take(FetchEnded(req, attempt, FetchEnd(status, Stage.SENT)))
+            await stand.take(AttemptEnded(req, attempt, AttemptEnd(status, Stage.SENT)))
         told.append(req)
         if last is not None:
             await stand.take(Overdue(req) if isinstance(last, Overdue) else last)
@@ -295,14 +295,14 @@
 
 def test_no_line_is_sent_for_a_client_that_leaves_as_its_connection_comes_up(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(proxy: Proxy) -> None:
-        real, begun, late = Fetch.open, asyncio.Event(), asyncio.Event()
+        real, begun, late = Attempt.open, asyncio.Event(), asyncio.Event()
 
-        async def slow(self: Fetch, *args: Any) -> FetchEnd | None:
+        async def slow(self: Attempt, *args: Any) -> AttemptEnd | None:
             begun.set()
             await late.wait()
             return await real(self, *args)
 
-        monkeypatch.setattr(Fetch, "open", slow)
+        monkeypatch.setattr(Attempt, "open", slow)
         _, writer = await proxy.ask()
         await begun.wait()
         writer.close()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -29,7 +29,7 @@
 from stoatgw.emulator.scenario import Fleet, Kind, Module, Scenario, ScenarioError, load, read
 from stoatgw.emulator.streams import Streams
 from stoatgw.emulator.virtual import AFTER_US, Policy, World, module
-from stoatgw.owner.messages import FetchUp
+from stoatgw.owner.messages import AttemptUp
 from stoatgw.owner.owner import Owner
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -365,7 +365,7 @@
     put, left = Owner.put, list[str]()
 
     def leave_with_up(self: Owner, message: Any) -> None:
-        door = message.req.door if isinstance(message, FetchUp) else None
+        door = message.req.door if isinstance(message, AttemptUp) else None
         if isinstance(door, Session) and len(left) < 20:
             left.append(door.name)
             door._kernel.soon(partial(door.proxy.loop.deliver, door.client_left))  # before the owner's next turn
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -18,11 +18,11 @@
 from stoatgw.owner.messages import (
     Activate,
     Arrived,
+    AttemptEnd,
+    AttemptEnded,
+    AttemptUp,
     ClientLeft,
     Drain,
-    FetchEnd,
-    FetchEnded,
-    FetchUp,
     Listed,
     Message,
     Overdue,
@@ -30,7 +30,7 @@
     Req,
     Stood,
 )
-from stoatgw.owner.messages import Stage as FetchStage
+from stoatgw.owner.messages import Stage as AttemptStage
 from stoatgw.owner.owner import Owner
 from stoatgw.owner.stopping import stopping
 from stoatgw.telemetry.counters import Counters
@@ -58,7 +58,7 @@
     def __init__(self) -> None:
         self.told: list[Any] = []
 
-    def fetch(self, attempt: int, server: str, cut_at_us: int) -> None:
+    def begin(self, attempt: int, server: str, cut_at_us: int) -> None:
         self.told.append(("fetch", attempt, server))
 
     def cancel(self, attempt: int) -> None:
@@ -107,8 +107,8 @@
     asyncio.run(run())
 
 
-def end(status: Status, stage: FetchStage) -> FetchEnd:
-    return FetchEnd(status, stage)
+def end(status: Status, stage: AttemptStage) -> AttemptEnd:
+    return AttemptEnd(status, stage)
 
 
 def test_a_refused_connect_is_tried_once_more_then_refused_with_advice() -> None:
@@ -116,8 +116,8 @@
         await stand.servers("a", "b", "c")
         req, door = stand.req()
         await stand.take(Arrived(req))
-        await stand.take(FetchEnded(req, 0, end(Status.DIAL_FAILED, FetchStage.CONNECTING)))
-        await stand.take(FetchEnded(req, 1, end(Status.DIAL_FAILED, FetchStage.CONNECTING)))
+        await stand.take(AttemptEnded(req, 0, end(Status.DIAL_FAILED, AttemptStage.CONNECTING)))
+        await stand.take(AttemptEnded(req, 1, end(Status.DIAL_FAILED, AttemptStage.CONNECTING)))
         (first, second, last) = door.told
         assert (first[:2], second[:2]) == (("fetch", 0), ("fetch", 1)) and first[2] != second[2]
         assert last == ("busy", 1_000_000) and stand.owner.open == 0
@@ -130,7 +130,7 @@
         await stand.servers("a", "b", "c")
         req, door = stand.req()
         await stand.take(Arrived(req))
-        ended = FetchEnded(req, 0, end(Status.SHED, FetchStage.SENT))
+        ended = AttemptEnded(req, 0, end(Status.SHED, AttemptStage.SENT))
         await stand.take(ended, ended)
         assert len(door.told) == 2 and stand.counters["fetches_shed"] == 1
 
@@ -144,8 +144,8 @@
         req, door = stand.req()
         await stand.take(Arrived(req))
         if up:
-            await stand.take(FetchUp(req, 0))
-        await stand.take(ClientLeft(req), FetchEnded(req, 0, end(Status.REVOKED, FetchStage.SENT)))
+            await stand.take(AttemptUp(req, 0))
+        await stand.take(ClientLeft(req), AttemptEnded(req, 0, end(Status.REVOKED, AttemptStage.SENT)))
         assert stand.owner.open == 0 and len(door.told) == 1
 
     drive(play)
@@ -168,7 +168,7 @@
         await asyncio.sleep(0.01)
         await stand.take()
         assert one.told[1:] == [("busy", 0)] and two.told == ["move"] and three.told == [("busy", 0)]
-        await stand.take(FetchUp(waits, 0))
+        await stand.take(AttemptUp(waits, 0))
         assert one.told[-1] == "move"  # an UP that crossed the refusal
 
     drive(play)
@@ -282,7 +282,7 @@
             patch.setattr(stand.owner._balancer, "handle", fault)
             await stand.take(Arrived(fresh))
         assert last.told == ["failed"] and stand.backstage.done[-1] == "fetch_list"
-        await stand.take(FetchEnded(out, 0, end(Status.DIAL_FAILED, FetchStage.CONNECTING)))
+        await stand.take(AttemptEnded(out, 0, end(Status.DIAL_FAILED, AttemptStage.CONNECTING)))
         assert first.told[-1] == "failed" and stand.owner.open == 1
 
     drive(play)
@@ -309,12 +309,12 @@
             elif act == "up":
                 for req, door in reqs:
                     if req.out is not None and not req.up:
-                        await stand.take(FetchUp(req, req.out))
+                        await stand.take(AttemptUp(req, req.out))
                         assert stage is not Stage.SERVING or "move" not in door.told
             elif act == "end":
                 for req, _ in reqs:
                     if req.out is not None:
-                        await stand.take(FetchEnded(req, req.out, end(Status.REVOKED, FetchStage.UP)))
+                        await stand.take(AttemptEnded(req, req.out, end(Status.REVOKED, AttemptStage.UP)))
             elif act == "drain":
                 assert course.drain() == (stage is Stage.SERVING)
                 if stage is Stage.SERVING:
