--- a/stoatgw/clients/house.py
+++ b/stoatgw/clients/context.py
@@ -60,7 +60,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class House:
+class ProxyContext:
     deployment: Deployment
     owner: Owner
     backends: Backends
--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -7,7 +7,7 @@
 import socket
 
 from stoatgw.backends.delays import latest_ms
-from stoatgw.clients.house import House
+from stoatgw.clients.context import ProxyContext
 from stoatgw.clients.session import ClientSession
 from stoatgw.config.deployment import Address
 from stoatgw.decisions.interface import NoteKind
@@ -24,11 +24,11 @@
 
 
 class Listener:
-    def __init__(self, house: House) -> None:
-        self._house = house
+    def __init__(self, context: ProxyContext) -> None:
+        self._context = context
         self._sock: socket.socket | None = None
         self._sessions: set[asyncio.Task[None]] = set()
-        aims = [profile.message_aim_us for profile in house.deployment.settings.profiles]
+        aims = [profile.message_aim_us for profile in context.deployment.settings.profiles]
         self._tell_ms = min(aims) / 1000 / DELAY_PART
         self._told: set[str] = set()
         self._wanted = asyncio.Event()
@@ -68,7 +68,7 @@
             self._sock.close()
 
     async def run(self) -> None:
-        loop, house = asyncio.get_running_loop(), self._house
+        loop, context = asyncio.get_running_loop(), self._context
         if self._sock is None:
             return
         while True:
@@ -80,20 +80,20 @@
             fault = self._accepting.exception()
             if fault is not None:
                 # EMFILE, ECONNABORTED and their like: what is open serves on.
-                house.counters.add("accept_failures")
-                house.log.event("accept_failed", error=str(fault))
+                context.counters.add("accept_failures")
+                context.log.event("accept_failed", error=str(fault))
                 await asyncio.sleep(calls.ACCEPT_PAUSE_S)
                 continue
             self._take(self._accepting.result())
 
     def _take(self, sock: socket.socket) -> None:
-        house = self._house
-        house.counters.add("connections")
-        if not house.room.admits():
-            house.counters.add("connections_over_limit")
-            answered = house.dismiss(sock, busy(0))
+        context = self._context
+        context.counters.add("connections")
+        if not context.room.admits():
+            context.counters.add("connections_over_limit")
+            answered = context.dismiss(sock, busy(0))
         else:
-            answered = ClientSession(sock, house).run()
+            answered = ClientSession(sock, context).run()
         task = asyncio.get_running_loop().create_task(answered)
         self._sessions.add(task)
         task.add_done_callback(self._sessions.discard)
@@ -107,28 +107,28 @@
             try:
                 self._look(turn % round(1 / WATCH_S) == 0)
             except Exception as fault:  # a fault here must not end the proxy
-                self._house.counters.add("watch_over_sessions_faults")
-                self._house.log.event("watch_over_sessions_fault", error=repr(fault))
+                self._context.counters.add("watch_over_sessions_faults")
+                self._context.log.event("watch_over_sessions_fault", error=repr(fault))
 
     def _look(self, tell: bool) -> None:
-        now_us = self._house.clock.now_us()
-        for standing in list(self._house.standing.values()):
+        now_us = self._context.clock.now_us()
+        for standing in list(self._context.standing.values()):
             if standing.messages.overdue_us(now_us) > UNANSWERED_US:
-                self._house.counters.add("sessions_unanswered")
+                self._context.counters.add("sessions_unanswered")
                 standing.messages.asked.clear()
                 standing.give_up()
-        if tell and self._house.deployment.tells_delay:
+        if tell and self._context.deployment.tells_delay:
             self._tell_delays(now_us)
 
     def _tell_delays(self, now_us: int) -> None:
         """While a backend's delay is over a third of the shortest aim, and once when it is back under."""
         told = set()
-        for server, standing in self._house.by_server():
+        for server, standing in self._context.by_server():
             delay_ms = latest_ms([each.messages for each in standing], now_us)
             late = delay_ms > self._tell_ms
             if late:
                 told.add(server)
-                self._house.counters.add("delays_told")
+                self._context.counters.add("delays_told")
             if late or server in self._told:
-                self._house.owner.put(Heard(standing[0].req, NoteKind.DELAY, delay_ms))
+                self._context.owner.put(Heard(standing[0].req, NoteKind.DELAY, delay_ms))
         self._told = told
--- a/stoatgw/clients/opening.py
+++ b/stoatgw/clients/opening.py
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 
-from stoatgw.clients.house import House
+from stoatgw.clients.context import ProxyContext
 from stoatgw.lines.grammar import PING, PONG, Malformed, Open, busy, read_open
 from stoatgw.lines.splitter import LINE_CAP, Splitter
 
@@ -17,8 +17,8 @@
 class Opening:
     """Reads one request; `shed` ends the wait early, to make room for others."""
 
-    def __init__(self, sock: socket.socket, house: House) -> None:
-        self._sock, self._house = sock, house
+    def __init__(self, sock: socket.socket, context: ProxyContext) -> None:
+        self._sock, self._context = sock, context
         self._splitter = Splitter()
         self._began = False  # any byte came
         self._over = False  # its time is up
@@ -70,7 +70,7 @@
                 if found is not None:
                     return found
                 if self._over and self._began:
-                    self._house.counters.add("clients_too_slow")
+                    self._context.counters.add("clients_too_slow")
                     return Malformed("no request in time")
                 if self._over or data == b"":
                     return None
@@ -82,9 +82,10 @@
         self._began = True
         lines = self._splitter.feed(data)
         while lines and lines[0] == PING:
-            self._house.counters.add("pings")
+            self._context.counters.add("pings")
             self._answering = True
-            await asyncio.get_running_loop().sock_sendall(self._sock, PONG + b"\r\n" if self._house.ready else busy(0))
+            answer = PONG + b"\r\n" if self._context.ready else busy(0)
+            await asyncio.get_running_loop().sock_sendall(self._sock, answer)
             self._answering = False
             lines = lines[1:]
         if lines:
@@ -92,16 +93,16 @@
         return Malformed("the line is too long") if self._splitter.overlong else None
 
     def _judge(self, lines: list[bytes]) -> Open | Malformed:
-        opened = read_open(lines[0], self._house.line_field)
+        opened = read_open(lines[0], self._context.line_field)
         if isinstance(opened, Malformed):
             return opened
         if len(lines) > 1 or self._splitter.rest or self._splitter.overlong:
             # A client waits for UP after its line: what comes with it was meant for no session server.
             return Malformed("more came before UP", opened.profile)
-        if opened.profile not in self._house.classes:
+        if opened.profile not in self._context.classes:
             return Malformed("class is unknown")
         if opened.at is None and opened.wait_ms > WAIT_MOST_MS:  # one that stood before waits for good
             return Malformed("field d is beyond belief", opened.profile)
-        if not self._house.ids.fresh(opened.request):
+        if not self._context.ids.fresh(opened.request):
             return Malformed("the id came before", opened.profile)
         return opened
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -12,7 +12,7 @@
 from stoatgw.backends.attempt import BUFFER, Attempt
 from stoatgw.backends.backend import Backend
 from stoatgw.backends.delays import Messages
-from stoatgw.clients.house import House, Standing
+from stoatgw.clients.context import ProxyContext, Standing
 from stoatgw.clients.opening import Opening
 from stoatgw.decisions.interface import Request, Status
 from stoatgw.lines.grammar import (
@@ -69,10 +69,10 @@
 
 
 class ClientSession:
-    def __init__(self, sock: socket.socket, house: House) -> None:
-        self._sock, self._house = sock, house
-        self._opening = Opening(sock, house)
-        house.room.waits(self._opening)
+    def __init__(self, sock: socket.socket, context: ProxyContext) -> None:
+        self._sock, self._context = sock, context
+        self._opening = Opening(sock, context)
+        context.room.waits(self._opening)
         self._asking = Splitter()  # for the lines after UP
         self._end: asyncio.Future[End] = asyncio.get_running_loop().create_future()
         self._req: Req | None = None
@@ -90,19 +90,19 @@
         self._class = ""  # of the request taken, until its answer is counted
 
     async def run(self) -> None:
-        counters, room, taken = self._house.counters, self._house.room, False
+        counters, room, taken = self._context.counters, self._context.room, False
         opened: Open | Malformed | None = None
         try:
             opened = await self._opening.request()
             room.opened(self._opening)
             if opened is None:
                 # BUSY: a request that crosses it on the way has its answer, and may be repeated.
-                await self._house.dismiss(self._sock, busy(0))
+                await self._context.dismiss(self._sock, busy(0))
                 return
             if isinstance(opened, Malformed):
                 counters.add("requests_malformed")
-                self._house.figures.answered(opened.profile, Verdict.ERROR)
-                await self._house.dismiss(self._sock, error(opened.why))
+                self._context.figures.answered(opened.profile, Verdict.ERROR)
+                await self._context.dismiss(self._sock, error(opened.why))
                 return
             self._class = opened.profile
             taken = room.take()
@@ -127,7 +127,7 @@
         except Exception as fault:
             counters.add("session_faults")
             self._count(Verdict.ERROR)
-            self._house.log.event("session_fault", error=repr(fault))
+            self._context.log.event("session_fault", error=repr(fault))
             calls.close(self._sock)
         finally:
             calls.close(self._sock)
@@ -137,24 +137,24 @@
             if taken:
                 room.leave()
             if isinstance(opened, Open):
-                self._house.ids.done(opened.request)
+                self._context.ids.done(opened.request)
 
     async def _serve(self, opened: Open) -> End:
         self._open = opened
-        loop, owner = asyncio.get_running_loop(), self._house.owner
+        loop, owner = asyncio.get_running_loop(), self._context.owner
         req = self._req = self._ask(opened)
         reader = loop.create_task(self._read_client())
-        self._house.figures.concurrent += 1
+        self._context.figures.concurrent += 1
         if opened.at is not None:
-            self._house.counters.add("requests_standing")
+            self._context.counters.add("requests_standing")
             self._attempting = loop.create_task(self._restore(req, opened, opened.at))
         else:
-            self._house.counters.add("requests")
+            self._context.counters.add("requests")
             owner.put(Arrived(req))
         try:
             end = await asyncio.shield(self._end)
         finally:
-            self._house.figures.concurrent -= 1
+            self._context.figures.concurrent -= 1
             # A socket may be closed only once no task waits on it.
             await _stop(reader)
             if not self._end.done() or self._end.result().cause in GONE:
@@ -164,15 +164,15 @@
         return end
 
     def _ask(self, opened: Open) -> Req:
-        now_us = self._house.clock.now_us()
+        now_us = self._context.clock.now_us()
         asked = Request(
             request=opened.request,
-            profile=self._house.classes[opened.profile],
+            profile=self._context.classes[opened.profile],
             patience_left_us=opened.wait_ms * 1000,
             # One that the settings do not name has no quota: it may not use up that of another.
-            tenant=self._house.tenants.get(opened.tenant, len(self._house.tenants)),
+            tenant=self._context.tenants.get(opened.tenant, len(self._context.tenants)),
             key=opened.key,
-            group=opened.group if self._house.deployment.settings.groups else None,
+            group=opened.group if self._context.deployment.settings.groups else None,
             hint_us=opened.hint,
             hint_valid=opened.hint is not None,
             client_retry=opened.retry,
@@ -193,7 +193,7 @@
         if self._end.done():
             # Guards against a client that left before the owner's turn: its line would run for nobody.
             gone = AttemptEnd(Status.REVOKED, Stage.CONNECTING, "its client has gone")
-            self._house.owner.put(AttemptEnded(req, number, gone))
+            self._context.owner.put(AttemptEnded(req, number, gone))
             return
         self._attempting = asyncio.get_running_loop().create_task(
             self._run_attempt(req, number, server, cut_at_us, self._attempting)
@@ -204,7 +204,7 @@
         """A task that is cancelled before its first step runs no code of its own: its end is told all the same."""
         if self._began != number:
             given_up = AttemptEnd(Status.REVOKED, Stage.CONNECTING, "never begun")
-            self._house.owner.put(AttemptEnded(req, number, given_up))
+            self._context.owner.put(AttemptEnded(req, number, given_up))
 
     def cancel(self, number: int) -> None:
         if self._attempting is not None:
@@ -213,7 +213,7 @@
     def _count(self, verdict: Verdict) -> None:
         """The request's one answer, counted once; nothing for a client that left before it."""
         if self._class and not self._end.done():
-            self._house.figures.answered(self._class, verdict)
+            self._context.figures.answered(self._class, verdict)
             self._class = ""
 
     def refuse(self, retry_after_us: int) -> None:
@@ -247,22 +247,22 @@
     async def _run_attempt(
         self, req: Req, number: int, server: str, cut_at_us: int, before: asyncio.Task[None] | None
     ) -> None:
-        house, end, attempt = self._house, AttemptEnd(Status.REVOKED, Stage.CONNECTING, "given up"), None
+        context, end, attempt = self._context, AttemptEnd(Status.REVOKED, Stage.CONNECTING, "given up"), None
         self._began = number
         try:
             if before is not None and not before.done():
                 await asyncio.wait([before])  # never two at a time
-            backend, opened = house.backends.get(server), self._open
+            backend, opened = context.backends.get(server), self._open
             if backend is None or opened is None:
                 end = AttemptEnd(Status.DIAL_FAILED, Stage.CONNECTING, "no such backend")
                 return
-            attempt = self._make_attempt(backend, house.deployment.dial_timeout_us)
+            attempt = self._make_attempt(backend, context.deployment.dial_timeout_us)
             ended = await attempt.open(opened.forwarded, cut_at_us, req.repeat_by_us)
             if ended is None and self._end.done():
                 # Guards against UP passed on behind another answer, or for a client that has gone.
                 ended = AttemptEnd(Status.REVOKED, Stage.UP, "its client was answered meanwhile")
             if ended is None:
-                house.owner.put(AttemptUp(req, number))
+                context.owner.put(AttemptUp(req, number))
                 ended = await self._stand(req, attempt, server)
             end = ended
         except asyncio.CancelledError:
@@ -272,35 +272,35 @@
             stage = attempt.stage if attempt else Stage.CONNECTING
             ran = stage in (Stage.SENT, Stage.UP)
             end = AttemptEnd(Status.DROPPED if ran else Status.UNUSED, stage, repr(fault))
-            house.counters.add("fetch_faults")
-            house.log.event("fetch_fault", error=repr(fault))
+            context.counters.add("fetch_faults")
+            context.log.event("fetch_fault", error=repr(fault))
         finally:
             self._close(req, attempt)
             if end.status not in (Status.DELIVERED, Status.REVOKED):
-                house.log.event(
+                context.log.event(
                     "fetch_ended", id=req.asked.request, backend=server, status=end.status.value,
                     stage=end.stage.value, why=end.why,
                 )  # fmt: skip
-            house.owner.put(AttemptEnded(req, number, end))
+            context.owner.put(AttemptEnded(req, number, end))
             if end.stage is Stage.UP:
                 self._finish(End(Cause.BACKEND_ENDED, reset=attempt is not None and attempt.reset))
 
     async def _restore(self, req: Req, opened: Open, server: str) -> None:
         """A connection that stood before: back to its backend, also where the list or the backend is late."""
-        house, loop = self._house, asyncio.get_running_loop()
-        until_us = house.clock.now_us() + int(RESTORE_S * 1e6)
+        context, loop = self._context, asyncio.get_running_loop()
+        until_us = context.clock.now_us() + int(RESTORE_S * 1e6)
         end: AttemptEnd | None = AttemptEnd(Status.DIAL_FAILED, Stage.CONNECTING, "not listed")
         attempt: Attempt | None = None
         stood = False
         try:
-            while house.clock.now_us() < until_us:
-                backend = house.backends.get(server)
+            while context.clock.now_us() < until_us:
+                backend = context.backends.get(server)
                 if backend is not None:
                     attempt = self._make_attempt(backend, RESTORE_DIAL_US)
                     end = await attempt.open(lambda _: opened.line + b"\r\n", until_us)
                     if end is None:
                         stood = True
-                        house.owner.put(Stood(req, server))
+                        context.owner.put(Stood(req, server))
                         end = await self._stand(req, attempt, server)
                         break
                     self._close(req, attempt)
@@ -311,32 +311,32 @@
             end = AttemptEnd(self._given_up, Stage.UP, "given up")
             raise
         except Exception as fault:
-            house.counters.add("fetch_faults")
-            house.log.event("fetch_fault", error=repr(fault))
+            context.counters.add("fetch_faults")
+            context.log.event("fetch_fault", error=repr(fault))
         finally:
             self._close(req, attempt)
             if stood:
                 owner_end = end or AttemptEnd(Status.DROPPED, Stage.UP, "fault")
-                house.owner.put(AttemptEnded(req, 0, owner_end))
+                context.owner.put(AttemptEnded(req, 0, owner_end))
                 self._finish(End(Cause.BACKEND_ENDED, reset=attempt is not None and attempt.reset))
             else:
-                house.counters.add("standing_lost")
-                house.log.event("standing_lost", id=opened.request, why=end.why if end else "fault")
+                context.counters.add("standing_lost")
+                context.log.event("standing_lost", id=opened.request, why=end.why if end else "fault")
                 loop.call_soon(self.fail)
 
     def _make_attempt(self, backend: Backend, dial_us: int) -> Attempt:
-        house = self._house
-        grace_us = house.deployment.settings.drain_grace_us
-        return Attempt(backend, house.clock, dial_us, grace_us, house.row, self._dispatched)
+        context = self._context
+        grace_us = context.deployment.settings.drain_grace_us
+        return Attempt(backend, context.clock, dial_us, grace_us, context.row, self._dispatched)
 
     def _dispatched(self) -> None:
-        self._house.figures.dispatches += 1
+        self._context.figures.dispatches += 1
 
     async def _stand(self, req: Req, attempt: Attempt, server: str) -> AttemptEnd:
         """Up: pass UP on, then all lines both ways until the backend ends."""
-        house = self._house
-        house.counters.add("answers_up")
-        house.standing[req.asked.request] = Standing(req, server, self._messages, self.give_up)
+        context = self._context
+        context.counters.add("answers_up")
+        context.standing[req.asked.request] = Standing(req, server, self._messages, self.give_up)
         self._up = True
         self._count(Verdict.SUCCESS)
         await self.pass_on(attempt.receipt)
@@ -350,7 +350,7 @@
 
     def _close(self, req: Req, attempt: Attempt | None) -> None:
         self._attempt = None
-        self._house.standing.pop(req.asked.request, None)
+        self._context.standing.pop(req.asked.request, None)
         if attempt is None:
             return
         end = self._end.result() if self._end.done() else None
@@ -363,14 +363,14 @@
             attempt.close(reset=end is not None and end.reset)
 
     def heard(self, lines: list[bytes]) -> None:
-        now_us, house = self._house.clock.now_us(), self._house
-        house.counters.add("lines_from_backends", len(lines))
+        now_us, context = self._context.clock.now_us(), self._context
+        context.counters.add("lines_from_backends", len(lines))
         for line in lines:
             reply = read_reply(line)
             if reply.word is Word.LOAD and self._req is not None:
                 value = read_number(reply.rest)
                 if value is not None:
-                    house.owner.put(Heard(self._req, house.load_means, value))
+                    context.owner.put(Heard(self._req, context.load_means, value))
             elif reply.word not in UNTIMED:
                 self._messages.answer(line, now_us)
 
@@ -385,8 +385,8 @@
 
     def _heard_client(self, data: bytes) -> None:
         lines = self._asking.feed(data)
-        self._house.counters.add("lines_from_clients", len(lines))
-        self._messages.ask(lines, self._house.clock.now_us())
+        self._context.counters.add("lines_from_clients", len(lines))
+        self._messages.ask(lines, self._context.clock.now_us())
 
     async def _read_client(self) -> None:
         loop = asyncio.get_running_loop()
--- a/stoatgw/maintenance/hands.py
+++ b/stoatgw/maintenance/hands.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from stoatgw.clients.house import House
+from stoatgw.clients.context import ProxyContext
 from stoatgw.config.deployment import Deployment
 from stoatgw.decisions.interface import Lifecycle
 from stoatgw.director.director import Director
@@ -17,9 +17,9 @@
 
 class ProxyHands:
     def __init__(
-        self, deployment: Deployment, house: House, owner: Owner, director: Director, outs: Outs, log: EventLog
+        self, deployment: Deployment, context: ProxyContext, owner: Owner, director: Director, outs: Outs, log: EventLog
     ) -> None:
-        self._deployment, self._house, self._owner = deployment, house, owner
+        self._deployment, self._context, self._owner = deployment, context, owner
         self._director, self._outs, self._log = director, outs, log
 
     def take_out(self, servers: dict[str, int]) -> None:
@@ -27,10 +27,10 @@
             self._outs.take(servers, PLANNED, min(VACATE_US, self._deployment.settings.drain_grace_us))
 
     def drain(self) -> None:
-        drain(self._house, self._owner, self._log)
+        drain(self._context, self._owner, self._log)
 
     def activate(self) -> None:
-        if self._house.course.activate():
+        if self._context.course.activate():
             self._log.event("activate")
             self._owner.put(Activate())
 
@@ -38,7 +38,7 @@
         return self._owner.holds(server)
 
     def clients(self) -> int:
-        return len(self._house.standing)
+        return len(self._context.standing)
 
     def machines(self) -> dict[str, Machine]:
         zones = self._deployment.zones
--- a/stoatgw/maintenance/service.py
+++ b/stoatgw/maintenance/service.py
@@ -7,7 +7,7 @@
 import secrets
 import time
 
-from stoatgw.clients.house import House
+from stoatgw.clients.context import ProxyContext
 from stoatgw.config.deployment import Deployment
 from stoatgw.config.maintenance import Plan
 from stoatgw.config.membership import Membership
@@ -23,12 +23,12 @@
 
 
 def make_agent(
-    membership: Membership, plan: Plan, deployment: Deployment, house: House, owner: Owner, director: Director,
+    membership: Membership, plan: Plan, deployment: Deployment, context: ProxyContext, owner: Owner, director: Director,
     overlay: Overlay, clock: Clock, log: EventLog,
 ) -> Agent:  # fmt: skip
     """Raises ConfigError."""
     engine = make_engine(membership, deployment.settings.rank)
-    hands = ProxyHands(deployment, house, owner, director, Outs(overlay, director, owner, clock, log), log)
+    hands = ProxyHands(deployment, context, owner, director, Outs(overlay, director, owner, clock, log), log)
     return Agent(membership, plan, deployment.name, engine, hands, os.environ.get("TMPDIR"), monotonic_us,
                  clock.now_us, log, random.Random(deployment.seed), secrets.token_hex(6))  # fmt: skip
 
--- a/stoatgw/operations.py
+++ b/stoatgw/operations.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import assert_never
 
-from stoatgw.clients.house import House
+from stoatgw.clients.context import ProxyContext
 from stoatgw.director.director import Director
 from stoatgw.management.calls import Deed, Order
 from stoatgw.management.http import Answer
@@ -18,24 +18,24 @@
 DRAIN_NEWCOMERS_US, DRAIN_OVER_US, DRAIN_SERVE_US = 400_000, 2_000_000, 2_600_000
 
 
-def drain(house: House, owner: Owner, log: EventLog) -> None:
+def drain(context: ProxyContext, owner: Owner, log: EventLog) -> None:
     """Send all clients away; nothing if that is under way."""
-    if house.course.drain():
-        log.event("drain", open=len(house.standing))
+    if context.course.drain():
+        log.event("drain", open=len(context.standing))
         owner.put(Drain(DRAIN_NEWCOMERS_US, DRAIN_OVER_US, DRAIN_SERVE_US))
 
 
 class Operations:
     def __init__(
         self,
-        house: House,
+        context: ProxyContext,
         owner: Owner,
         director: Director,
         keeper: Keeper,
         log: EventLog,
         accepts: Callable[[], bool],
     ) -> None:
-        self._house, self._owner, self._director, self._keeper = house, owner, director, keeper
+        self._context, self._owner, self._director, self._keeper = context, owner, director, keeper
         self._log, self._accepts = log, accepts
 
     def take(self, order: Order) -> Answer:
@@ -43,7 +43,7 @@
             case Deed.READY:
                 return self._ready()
             case Deed.METRICS:
-                figures = self._house.figures
+                figures = self._context.figures
                 return Answer(200, figures.render(self._director.listed, len(self._owner.avoided())))
             case Deed.SUSPEND | Deed.RESUME:
                 return self._change(order)
@@ -55,10 +55,10 @@
                 assert_never(order.deed)
 
     def _ready(self) -> Answer:
-        stage = self._house.course.stage.value
-        if not self._house.course.serving:
+        stage = self._context.course.stage.value
+        if not self._context.course.serving:
             return Answer(503, f"no: {stage}\n")
-        if not self._house.backends.known:
+        if not self._context.backends.known:
             return Answer(503, "no: no list of session servers yet\n")
         if not self._accepts():
             return Answer(503, "no: another process takes the clients as yet\n")
@@ -76,13 +76,13 @@
         return Answer(500, f"no: out in this process alone, {why}\n") if why else Answer(200, f"yes: {name} is out\n")
 
     def _drain(self) -> Answer:
-        course = self._house.course
-        drain(self._house, self._owner, self._log)
+        course = self._context.course
+        drain(self._context, self._owner, self._log)
         return Answer(200, f"yes: {course.stage.value}\n")
 
     def _activate(self) -> Answer:
-        was = self._house.course.serving
-        if not self._house.course.activate():
+        was = self._context.course.serving
+        if not self._context.course.activate():
             return Answer(409, "no: this process is stopping\n")
         if not was:
             self._log.event("activate")
--- a/stoatgw/service.py
+++ b/stoatgw/service.py
@@ -18,7 +18,7 @@
 
 from stoatgw.backends.backend import Backends
 from stoatgw.backends.probe import Columns, Prober
-from stoatgw.clients.house import House
+from stoatgw.clients.context import ProxyContext
 from stoatgw.clients.listener import Listener
 from stoatgw.clients.room import Room
 from stoatgw.config.deployment import Address, ConfigError, Deployment, load
@@ -137,8 +137,8 @@
         overlay.lay,
     )
     room = Room(deployment.sockets - (CALLERS_KEPT if deployment.management else 0))
-    house = House(deployment, owner, backends, clock, columns.row, counters, log, room)
-    listener = Listener(house)
+    context = ProxyContext(deployment, owner, backends, clock, columns.row, counters, log, room)
+    listener = Listener(context)
     loop.add_signal_handler(signal.SIGHUP, Reload(path, deployment, director, log, counters))
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     stopped = asyncio.Event()
@@ -157,7 +157,7 @@
     if operators is not None and operators.membership is not None and operators.maintenance is not None:
         from stoatgw.maintenance.service import make_agent
 
-        agent = make_agent(operators.membership, operators.maintenance, deployment, house, owner, director, overlay,
+        agent = make_agent(operators.membership, operators.maintenance, deployment, context, owner, director, overlay,
                            clock, log)  # fmt: skip
         agent.begin()
     director.known(deployment.known)
@@ -169,7 +169,7 @@
     if "LB_LISTEN_FD" in os.environ:
         from stoatgw.upgrade.beside import LOOK_S, Beside
 
-        beside = Beside(os.environ.get("TMPDIR"), house, listener, director, log)
+        beside = Beside(os.environ.get("TMPDIR"), context, listener, director, log)
         beside.begin()
         loops.append(partial(every, LOOK_S, beside.look, log))
     if deployment.management is not None and keeper is not None:
@@ -177,7 +177,7 @@
         from stoatgw.operations import Operations
         from stoatgw.suspension.keeper import LOOK_S as BANS_LOOK_S
 
-        desk = Operations(house, owner, director, keeper, log, lambda: beside is None or beside.accepts)
+        desk = Operations(context, owner, director, keeper, log, lambda: beside is None or beside.accepts)
         callers = ManagementListener(desk, log, counters)
         try:
             callers.bind(deployment.management)
@@ -198,7 +198,7 @@
             log.event("task_ended", error=repr(task.exception()))
     handed = beside is not None and beside.taken_over()
     log.event("draining", open=listener.open, handed_over=handed)
-    house.course.stop(handed_over=handed)
+    context.course.stop(handed_over=handed)
     if handed:
         # Nobody comes here any more: the other process answers them. Those that came are served, then moved.
         listener.accept(False)
--- a/stoatgw/upgrade/beside.py
+++ b/stoatgw/upgrade/beside.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from pathlib import Path
 
-from stoatgw.clients.house import House
+from stoatgw.clients.context import ProxyContext
 from stoatgw.clients.listener import Listener
 from stoatgw.director.director import Director
 from stoatgw.telemetry.log import EventLog
@@ -18,11 +18,11 @@
 
 class Beside:
     def __init__(
-        self, folder: str | None, house: House, listener: Listener, director: Director, log: EventLog
+        self, folder: str | None, context: ProxyContext, listener: Listener, director: Director, log: EventLog
     ) -> None:
-        self._house, self._listener, self._director, self._log = house, listener, director, log
+        self._context, self._listener, self._director, self._log = context, listener, director, log
         self._peers = Peers(Path(folder)) if folder else None
-        self._own = Peer(False, house.clock.now_us(), BASE)
+        self._own = Peer(False, context.clock.now_us(), BASE)
         self._others: list[Peer] = []
         self.accepts = False
         self._told: dict[str, str] = {}  # troubles that last, by event: told once
@@ -46,7 +46,7 @@
 
     def _take_clients(self) -> None:
         """From now on this process is the one that accepts."""
-        self._own = replace(self._own, ready=True, since_us=self._house.clock.now_us())
+        self._own = replace(self._own, ready=True, since_us=self._context.clock.now_us())
         self._tell()
         self.accepts = True
         self._listener.accept(True)
@@ -78,12 +78,12 @@
         except OSError as fault:
             self._trouble("peers_unseen", fault)
             self._others = []
-        self._house.room.elsewhere = sum(peer.held for peer in self._others)
+        self._context.room.elsewhere = sum(peer.held for peer in self._others)
 
     def look(self) -> None:
         """To be called every LOOK_S."""
         self._look()
-        held = BASE + self._house.room.held
+        held = BASE + self._context.room.held
         if held != self._own.held:
             self._own = replace(self._own, held=held)
             self._tell()
@@ -98,7 +98,7 @@
             self._peers.leave()
 
     def _begin_later(self) -> None:
-        now_us, known = self._house.clock.now_us(), self._house.backends.known
+        now_us, known = self._context.clock.now_us(), self._context.backends.known
         alone = not any(peer.ready for peer in self._others)  # whoever served has gone: nobody does now
         if (alone and known) or may_begin(self._own.since_us, self._director.told_us, known, now_us):
             self._log.event("takes_over", others=len(self._others))
@@ -106,8 +106,8 @@
 
     def _yield_or_accept(self) -> None:
         """Accept unless one that began later does; if that one dies, again."""
-        accepts = self._house.course.serving and not newer(self._own, self._others)
-        if accepts != self.accepts and self._house.course.serving:
+        accepts = self._context.course.serving and not newer(self._own, self._others)
+        if accepts != self.accepts and self._context.course.serving:
             self.accepts = accepts
             self._log.event("accepts" if accepts else "yields")
             self._listener.accept(accepts)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -234,10 +234,10 @@
 def test_a_request_that_crosses_the_end_of_an_idle_connection_is_refused_without_a_reset() -> None:
     async def test(proxy: Proxy) -> None:
         loop = asyncio.get_running_loop()
-        proxy.house.room = Room(DESCRIPTORS_KEPT + 4)
+        proxy.context.room = Room(DESCRIPTORS_KEPT + 4)
         first = socket.create_connection(("127.0.0.1", proxy.port))
         first.setblocking(False)
-        while not proxy.house.room._waiting:
+        while not proxy.context.room._waiting:
             await asyncio.sleep(0.01)
         second = await proxy.client()
         await calls.readable(first)  # room was wanted: BUSY is there, unread
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -68,7 +68,7 @@
                 proxy.owner.put(Drain(0, 0))
         await proxy.settle()
         told = {line.split(":")[0]: int(line.split(":")[1].split("|")[0])
-                for line in proxy.house.figures.render(1, 0).splitlines()}  # fmt: skip
+                for line in proxy.context.figures.render(1, 0).splitlines()}  # fmt: skip
         for name in ("chat", "view"):
             counts = {verdict: told[f"proxy.{verdict.value}.{name}"] for verdict in Verdict}
             assert all(counts[verdict] >= seen[name, verdict] for verdict in Verdict)
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -57,7 +57,7 @@
         ours, theirs = socket.socketpair()
         ours.setblocking(False)
         with ours, theirs:
-            asked = asyncio.create_task(opening.Opening(ours, Proxy().house).request())
+            asked = asyncio.create_task(opening.Opening(ours, Proxy().context).request())
             await asyncio.sleep(0.01)
             theirs.send(OPEN % 1)
             time.sleep(0.1)  # the loop is late: its time is up before it reads
@@ -117,7 +117,7 @@
     monkeypatch.setattr(opening, "PATIENCE_S", 60.0)
 
     async def test(proxy: Proxy) -> None:
-        proxy.house.room = Room(DESCRIPTORS_KEPT + 15)
+        proxy.context.room = Room(DESCRIPTORS_KEPT + 15)
         idle = []
         for _ in range(30):
             idle.append(await proxy.client())
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -14,7 +14,7 @@
 from stoatgw.backends.backend import Backends
 from stoatgw.backends.delays import Messages, latest_ms
 from stoatgw.backends.probe import Columns, Prober
-from stoatgw.clients.house import House, RecentIds, Standing
+from stoatgw.clients.context import ProxyContext, RecentIds, Standing
 from stoatgw.clients.listener import WATCH_S, Listener
 from stoatgw.clients.room import Room
 from stoatgw.clients.session import BOUNDARY_S
@@ -43,10 +43,10 @@
         columns = Columns(self.deployment.settings.report_columns)
         self.prober = Prober(self.owner, self.clock, columns, 250_000, self.counters)
         self.room = Room(self.deployment.sockets)
-        self.house = House(
+        self.context = ProxyContext(
             self.deployment, self.owner, self.backends, self.clock, columns.row, self.counters, log, self.room
         )
-        self.listener = Listener(self.house)
+        self.listener = Listener(self.context)
         self.asked: list[bytes] = []
         self.ids = 0
 
@@ -70,7 +70,7 @@
     async def settle(self) -> None:
         """Wait until nothing is left behind."""
         async with asyncio.timeout(5):
-            while self.listener.open or self.owner.open or self.house.standing:
+            while self.listener.open or self.owner.open or self.context.standing:
                 await asyncio.sleep(0.01)
 
     async def play(self, serve: Serve, test: Callable[[Proxy], Awaitable[None]]) -> None:
@@ -184,7 +184,7 @@
         await reader.readline()
         writer.write(b"HALF\r\n")
         assert await reader.readexactly(3) == b"hal"
-        proxy.house.standing["0000000000000001"].give_up()
+        proxy.context.standing["0000000000000001"].give_up()
         writer.write(b"f\r\n")
         assert await reader.read() == b"f\r\nMOVE\r\n"
         writer.close()
@@ -241,7 +241,7 @@
         proxy.backends._backends["s"] = kept
         writer.write(b"PING\r\n")
         assert await reader.readline() == b"PONG\r\n"
-        proxy.house.course.drain()
+        proxy.context.course.drain()
         writer.write(b"PING\r\n")
         assert await reader.readline() == b"BUSY\r\n"
         writer.close()
@@ -361,7 +361,7 @@
 
         proxy.owner.put = listen  # type: ignore[method-assign]
         domain = {"tells_delay": tells[0], "tells_load": tells[1]}
-        proxy.house.deployment = read(CONFIG | {"settings": CONFIG["settings"] | {"domain": domain}})
+        proxy.context.deployment = read(CONFIG | {"settings": CONFIG["settings"] | {"domain": domain}})
         _, writer = await proxy.ask()
         while not heard:
             await asyncio.sleep(0.01)
@@ -385,8 +385,8 @@
 
         proxy.owner.put = listen  # type: ignore[method-assign]
         tenants = [{"name": "selangor"}, {"name": "johor"}]
-        proxy.house.deployment = read(CONFIG | {"settings": CONFIG["settings"] | {"tenants": tenants}})
-        proxy.house.__post_init__()
+        proxy.context.deployment = read(CONFIG | {"settings": CONFIG["settings"] | {"tenants": tenants}})
+        proxy.context.__post_init__()
         for more in (b",t=johor", b",t=selangor", b",t=other", b""):
             reader, writer = await proxy.ask(more)
             assert await reader.readline() == b"UP 77\r\n"
@@ -431,11 +431,11 @@
             messages.answer(b"last", start_us)
             messages.ask([b"next"], start_us + silent_us)
             req = Req(Request("0" * 16, 0, 2_000_000), 0, None)  # type: ignore[arg-type]
-            proxy.house.standing = {"x": Standing(req, "s", messages, lambda: given.append(1))}
+            proxy.context.standing = {"x": Standing(req, "s", messages, lambda: given.append(1))}
             latest_us = start_us + 7_000_000 - int((WATCH_S + BOUNDARY_S) * 1e6)
-            proxy.house.clock = SimpleNamespace(now_us=lambda latest_us=latest_us: latest_us)  # type: ignore[assignment]
+            proxy.context.clock = SimpleNamespace(now_us=lambda latest_us=latest_us: latest_us)  # type: ignore[assignment]
             proxy.listener._look(False)
         assert given == [1, 1]
-        proxy.house.standing = {}
+        proxy.context.standing = {}
 
     play(echo, test)
