--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -281,14 +281,8 @@
             writer.close()
 
     async def test(proxy: Proxy) -> None:
-        backend = proxy.backends.get("s")
-        assert backend is not None
-        for count in (1, 2):
-            proxy.prober.probe(backend)
-            while sum(n for name, n in proxy.counters.all().items() if name.startswith("probes_")) < count:
-                await asyncio.sleep(0.01)
-        assert proxy.counters["probes_delivered"] == 2 and len(connections) == 2
-        proxy.prober.close("s")
+        assert await proxy.probe_twice() == 2
+        assert len(connections) == 2
 
     play(serve, test)
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -67,6 +67,17 @@
         writer.write((OPEN % self.ids)[:-2] + more + b"\r\n")
         return reader, writer
 
+    async def probe_twice(self) -> int:
+        """Probe the backend, and again once that has ended; how many probes were answered."""
+        backend = self.backends.get("s")
+        assert backend is not None
+        for count in (1, 2):
+            self.prober.probe(backend)
+            while sum(n for name, n in self.counters.all().items() if name.startswith("probes_")) < count:
+                await asyncio.sleep(0.01)
+        self.prober.close("s")
+        return self.counters["probes_delivered"]
+
     async def settle(self) -> None:
         """Wait until nothing is left behind."""
         async with asyncio.timeout(5):
@@ -284,14 +295,8 @@
         writer.close()
 
     async def test(proxy: Proxy) -> None:
-        backend = proxy.backends.get("s")
-        assert backend is not None
-        for count in (1, 2):
-            proxy.prober.probe(backend)
-            while proxy.counters["probes_delivered"] < count:
-                await asyncio.sleep(0.01)
+        assert await proxy.probe_twice() == 2
         assert connections == [1]
-        proxy.prober.close("s")
 
     connections: list[int] = []
     play(serve, test)
