Log: request id and reason for each session's start, migration and end, and each rejection

Neither report's log said who ended the session, when its migration was asked for, or why. No line is written per forwarded line.

--- a/stoatgw/clients/attempt_runner.py
+++ b/stoatgw/clients/attempt_runner.py
@@ -66,6 +66,8 @@
         if refused is not None:
             self._served.post_attempt_end(number, refused)
             return
+        if number:
+            self._served.log_event("attempt_retried", backend=server, attempt=number)
         run = _AttemptRun(number, server, deadline_us, state.interrupted_attempt(AttemptStage.CONNECTING))
         self._task = asyncio.get_running_loop().create_task(self._run(run, self._task))
         self._task.add_done_callback(partial(self._report_never_begun, number))
@@ -129,9 +131,8 @@
         served = self._served
         served.close_attempt(run.attempt)
         if run.end.status not in UNLOGGED_STATUSES:
-            served.context.log.event(
+            served.log_event(
                 "attempt_failed",
-                id=served.request.request_id,
                 backend=run.server,
                 status=run.end.status.value,
                 stage=run.end.stage.value,
@@ -139,4 +140,4 @@
             )
         served.post_attempt_end(run.number, run.end)
         if run.end.stage is AttemptStage.ESTABLISHED:
-            served.finish_by_server(run.attempt)
+            served.finish_by_server(run.attempt, run.end)
--- a/stoatgw/clients/context.py
+++ b/stoatgw/clients/context.py
@@ -18,7 +18,7 @@
 from stoatgw.decisions.interface import SessionMetricKind
 from stoatgw.line_protocol.grammar import field_pattern
 from stoatgw.telemetry.counters import Counters
-from stoatgw.telemetry.log import EventLog
+from stoatgw.telemetry.log import EventLog, RateLimitedLog
 from stoatgw.telemetry.metrics import RequestMetrics
 
 
@@ -51,6 +51,7 @@
         load_report_row: Turns a server's load report into the columns that the settings name.
         counters: Counted by whoever sees the event.
         log: Written by whoever sees the event.
+        flood_log: The same log, for events that bad clients could cause without limit.
         descriptor_limiter: Owned by this package; hot restart exchanges the figures of sibling processes through it.
         request_ids: Owned by this package: request readers register ids, sessions mark them as ended.
         established_sessions: By request id. Owned by this package: an attempt adds its session and removes it again;
@@ -77,11 +78,13 @@
     tenant_indexes: dict[str, int] = field(default_factory=dict)
     metrics: RequestMetrics = field(init=False)
     request_field_pattern: re.Pattern[bytes] = field(init=False)
+    flood_log: RateLimitedLog = field(init=False)
 
     def __post_init__(self) -> None:
         self.class_indexes = {profile.name: index for index, profile in enumerate(self.deployment.settings.profiles)}
         self.tenant_indexes = {name: index for index, name in enumerate(self.deployment.settings.tenants)}
         self.metrics = RequestMetrics(self.class_indexes)
+        self.flood_log = RateLimitedLog(self.log, self.clock)
         self.request_field_pattern = field_pattern([*self.class_indexes, *self.tenant_indexes])
 
     @property
--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -10,7 +10,7 @@
 from stoatgw.clients.context import EstablishedSession, ProxyContext
 from stoatgw.clients.session_end import SessionCloser
 from stoatgw.clients.session_state import EndReason, SessionEnd
-from stoatgw.controller.messages import AttemptEnd, RequestState, SessionMetricObserved
+from stoatgw.controller.messages import AttemptEnd, MigrationReason, RequestState, SessionMetricObserved
 from stoatgw.line_protocol.grammar import MOVE, Keyword, encode_error, parse_number, parse_reply
 from stoatgw.line_protocol.splitter import LineSplitter
 from stoatgw.telemetry.metrics import RequestOutcome
@@ -67,6 +67,7 @@
         )
         self._request_state = request_state
         self._state.establish()
+        self._context.log.event("session_established", id=request_state.request.request_id, backend=server)
         self.record_outcome(RequestOutcome.SUCCESS)
         await self.forward(attempt.established_data)
         while self._early_data:  # more may come while this is sent
@@ -105,23 +106,40 @@
         await asyncio.get_running_loop().sock_sendall(self._sock, data)
         state.is_line_complete = data.endswith(b"\n")
         if state.is_migrating and state.is_line_complete:
-            self._closer.finish(SessionEnd(EndReason.MIGRATED, MOVE + b"\r\n"))
+            self._closer.finish(SessionEnd(EndReason.MIGRATED, MOVE + b"\r\n", why=self._migration_reason))
 
     # Migration.
 
     def migrate(self) -> None:
         """Sends the client away with MOVE, between two lines."""
-        if self._state.request_migration():
-            self._closer.finish(SessionEnd(EndReason.MIGRATED, MOVE + b"\r\n"))
+        is_between_lines = self._state.request_migration()
+        self._context.log.event(
+            "session_migrating",
+            id=self._request_id,
+            why=self._migration_reason,
+            is_between_lines=is_between_lines,
+        )
+        if is_between_lines:
+            self._closer.finish(SessionEnd(EndReason.MIGRATED, MOVE + b"\r\n", why=self._migration_reason))
         else:
             # Guards against a server that stops in the middle of a line.
-            asyncio.get_running_loop().call_later(
-                LINE_BOUNDARY_TIMEOUT_S, self._closer.finish, SessionEnd(EndReason.MIGRATED)
-            )
+            given_up = SessionEnd(EndReason.MIGRATED, why=f"{self._migration_reason}; its line did not end")
+            asyncio.get_running_loop().call_later(LINE_BOUNDARY_TIMEOUT_S, self._closer.finish, given_up)
+
+    @property
+    def _request_id(self) -> str | None:
+        return self._request_state.request.request_id if self._request_state is not None else None
+
+    @property
+    def _migration_reason(self) -> str:
+        reason = self._request_state.migration_reason if self._request_state is not None else None
+        return reason.value if reason is not None else ""
 
     def abandon_server(self) -> None:
         """Migrates the session because its server answers nothing any more."""
         self._state.record_unresponsive_server()
+        if self._request_state is not None:
+            self._request_state.migration_reason = MigrationReason.SERVER_UNRESPONSIVE
         self.migrate()
 
     # The client's side.
@@ -140,20 +158,22 @@
                 self._observe_client_lines(data)
                 try:
                     await self._attempt.send(data)
-                except OSError:
+                except OSError as error:
                     # The server's last lines may still be on their way to the client.
                     await asyncio.sleep(LINE_BOUNDARY_TIMEOUT_S)
-                    self._closer.finish(SessionEnd(EndReason.SERVER_ENDED, was_reset=True))
+                    self._closer.finish(SessionEnd(EndReason.SERVER_ENDED, was_reset=True, why=str(error)))
                     return
-            self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED))
+            self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, why="ended by the client"))
         except OSError as error:
             was_reset = isinstance(error, ConnectionResetError)
-            self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=was_reset))
+            self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=was_reset, why=str(error)))
 
     def _reject_early_data(self) -> None:
         """Guards against commands sent before the answer being served as a session: a client waits for UP."""
         self.record_outcome(RequestOutcome.ERROR)
-        self._closer.finish(SessionEnd(EndReason.PROTOCOL_VIOLATED, encode_error("more came before UP")))
+        self._closer.finish(
+            SessionEnd(EndReason.PROTOCOL_VIOLATED, encode_error("more came before UP"), why="more came before UP")
+        )
 
     def _keep_early_data(self, data: bytes) -> None:
         self._early_data += data
--- a/stoatgw/clients/request_handler.py
+++ b/stoatgw/clients/request_handler.py
@@ -85,6 +85,19 @@
             self._context.counters.add("requests")
             self._context.controller.post(RequestReceived(self._request_state))
 
+    def log_end(self, end: SessionEnd) -> None:
+        """Logs how the session ended, and why."""
+        state = self._closer.state
+        self._served.log_event(
+            "session_ended",
+            reason=end.reason.value,
+            why=end.why,
+            answer=end.last_line.decode("ascii", "replace").strip(),
+            was_established=state.is_established,
+            was_reset=end.was_reset,
+            backend=self._request_state.server,
+        )
+
     def record_outcome(self, outcome: RequestOutcome) -> None:
         """Counts the request's outcome, unless one was counted."""
         self._relay.record_outcome(outcome)
@@ -110,7 +123,8 @@
     def _answer(self, outcome: RequestOutcome, line: bytes) -> None:
         if self._closer.state.can_answer():
             self.record_outcome(outcome)
-            self._closer.finish(SessionEnd(EndReason.ANSWERED, line))
+            reason = self._request_state.answer_reason
+            self._closer.finish(SessionEnd(EndReason.ANSWERED, line, why=reason.value if reason is not None else ""))
 
     def migrate(self) -> None:
         """Sends the client away, between two lines."""
--- a/stoatgw/clients/request_reader.py
+++ b/stoatgw/clients/request_reader.py
@@ -22,16 +22,20 @@
 
 
 class RequestReader:
-    """Reads one request; an `IdleConnection` of the descriptor limiter until it is complete."""
+    """Reads one request; an `IdleConnection` of the descriptor limiter until it is complete.
 
-    __slots__ = ("_context", "_has_received", "_is_answering_ping", "_is_expired", "_sock", "_splitter", "_wake_up")
+    Attributes:
+        is_expired: Its time is up, or its descriptor is needed: the wait for a request has ended.
+    """
+
+    __slots__ = ("_context", "_has_received", "_is_answering_ping", "_sock", "_splitter", "_wake_up", "is_expired")
 
     def __init__(self, sock: socket.socket, context: ProxyContext) -> None:
         self._sock = sock
         self._context = context
         self._splitter = LineSplitter()
         self._has_received = False
-        self._is_expired = False
+        self.is_expired = False
         self._is_answering_ping = False
         self._wake_up = asyncio.Event()  # there is something to read, or the time is up
 
@@ -53,7 +57,7 @@
 
         Reading is not shut down: what crosses the last line could then not be read, and would turn it into a reset.
         """
-        self._is_expired = True
+        self.is_expired = True
         self._wake_up.set()
         if self._is_answering_ping:  # and the client does not read the answers
             with contextlib.suppress(OSError):
@@ -80,10 +84,10 @@
             request = await self._receive_data(data) if data else None
             if request is not None:
                 return request
-            if self._is_expired and self._has_received:
+            if self.is_expired and self._has_received:
                 self._context.counters.add("clients_timed_out")
                 return MalformedRequest("no request in time")
-            if self._is_expired or data == b"":
+            if self.is_expired or data == b"":
                 return None
 
     async def _receive_data(self, data: bytes) -> SessionRequest | MalformedRequest | None:
--- a/stoatgw/clients/served_request.py
+++ b/stoatgw/clients/served_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from stoatgw.backends.attempt import Attempt
 from stoatgw.backends.backend import Backend
@@ -32,6 +33,10 @@
     closer: SessionCloser
     relay: Relay
 
+    def log_event(self, event: str, **fields: Any) -> None:
+        """Logs an event of this request, with its id."""
+        self.context.log.event(event, id=self.request.request_id, **fields)
+
     def create_attempt(self, backend: Backend, dial_timeout_us: int) -> Attempt:
         """Prepares an attempt at a server."""
         context = self.context
@@ -51,12 +56,12 @@
         """Reports the end of an attempt to the controller."""
         self.context.controller.post(AttemptEnded(self.request_state, number, end))
 
-    def finish_by_server(self, attempt: Attempt | None) -> None:
+    def finish_by_server(self, attempt: Attempt | None, end: AttemptEnd) -> None:
         """Ends the session because the attempt that it was established by is over."""
         was_reset = attempt is not None and attempt.was_reset
-        self.closer.finish(SessionEnd(EndReason.SERVER_ENDED, was_reset=was_reset))
+        self.closer.finish(SessionEnd(EndReason.SERVER_ENDED, was_reset=was_reset, why=end.reason))
 
     def record_crash(self, error: Exception) -> None:
         """Counts and logs an exception that nothing but a fault of the program raises."""
         self.context.counters.add("attempts_crashed")
-        self.context.log.event("attempt_crashed", error=repr(error))
+        self.log_event("attempt_crashed", error=repr(error))
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -19,7 +19,16 @@
     Owns the connection's socket, its place in the descriptor limiter and its request id; `run` gives all of them back.
     """
 
-    __slots__ = ("_closer", "_context", "_handler", "_holds_descriptors", "_reader", "_request", "_sock")
+    __slots__ = (
+        "_closer",
+        "_context",
+        "_handler",
+        "_holds_descriptors",
+        "_reader",
+        "_request",
+        "_sock",
+        "_was_expired",
+    )
 
     def __init__(self, sock: socket.socket, context: ProxyContext) -> None:
         self._sock = sock
@@ -27,6 +36,7 @@
         self._reader: RequestReader | None = RequestReader(sock, context)  # until it has read the request
         context.descriptor_limiter.add_idle(self._reader)
         self._request: SessionRequest | None = None  # once it is accepted
+        self._was_expired = False  # its time for a request was up, or its descriptor was needed
         self._holds_descriptors = False
         self._closer: SessionCloser | None = None  # once it has them
         self._handler: SessionRequestHandler | None = None
@@ -41,18 +51,22 @@
             self._context.counters.add("sessions_crashed")
             if self._handler is not None:
                 self._handler.record_outcome(RequestOutcome.ERROR)
-            self._context.log.event("session_crashed", error=repr(error))
+            request_id = self._request.request_id if self._request is not None else None
+            self._context.log.event("session_crashed", id=request_id, error=repr(error))
         finally:
             self._release()
 
     async def _read_and_serve(self) -> None:
         request = await self._read_request()
         if request is None:
+            if self._was_expired:
+                self._context.flood_log.event("connection_closed", why="it sent no request in time")
             # BUSY: a request that crosses it on the way has its answer, and may be sent again.
             await reject_connection(self._context, self._sock, encode_busy(0))
         elif isinstance(request, MalformedRequest):
             self._context.counters.add("requests_malformed")
             self._context.metrics.record_outcome(request.class_name, RequestOutcome.ERROR)
+            self._context.flood_log.event("request_malformed", why=request.reason)
             await reject_connection(self._context, self._sock, encode_error(request.reason))
         else:
             self._request = request
@@ -62,6 +76,7 @@
         if self._reader is None:
             return None
         request = await self._reader.read_request()
+        self._was_expired = self._reader.is_expired
         self._drop_reader()
         return request
 
@@ -76,12 +91,14 @@
         if not self._holds_descriptors:
             self._context.counters.add("requests_over_descriptor_limit")
             self._context.metrics.record_outcome(request.class_name, RequestOutcome.OVERLOAD)
+            self._context.log.event("request_rejected", id=request.request_id, why="too few descriptors are left")
             await tcp.close_gracefully(self._sock, encode_busy(0), ANSWERED_LINGER_S)
             return
         self._closer = SessionCloser(self._sock)
         self._handler = SessionRequestHandler(self._sock, self._context, request, self._closer)
         end = await self._handler.serve()
         self._context.counters.add(f"sessions_{end.reason.value}")
+        self._handler.log_end(end)
         await self._closer.close_both(end)
 
     def _release(self) -> None:
--- a/stoatgw/clients/session_restore.py
+++ b/stoatgw/clients/session_restore.py
@@ -7,7 +7,7 @@
 from stoatgw.backends.attempt import Attempt
 from stoatgw.backends.backend import Backend
 from stoatgw.clients.served_request import ServedRequest
-from stoatgw.controller.messages import AttemptEnd, AttemptStage, SessionRestored
+from stoatgw.controller.messages import AnswerReason, AttemptEnd, AttemptStage, SessionRestored
 from stoatgw.decisions.interface import AttemptStatus
 
 RESTORE_TIMEOUT_S = 39.0
@@ -75,9 +75,10 @@
         if self._is_established:
             end = self._end or AttemptEnd(AttemptStatus.DROPPED, AttemptStage.ESTABLISHED, "fault")
             served.post_attempt_end(0, end)
-            served.finish_by_server(self._attempt)
+            served.finish_by_server(self._attempt, end)
             return
         reason = self._end.reason if self._end is not None else "fault"
         served.context.counters.add("sessions_not_restored")
-        served.context.log.event("session_restore_failed", id=served.request.request_id, why=reason)
+        served.log_event("session_restore_failed", why=reason)
+        served.request_state.answer_reason = AnswerReason.RESTORE_FAILED
         asyncio.get_running_loop().call_soon(served.request_state.handler.fail)
--- a/stoatgw/clients/session_state.py
+++ b/stoatgw/clients/session_state.py
@@ -39,11 +39,13 @@
         reason: Why it ended.
         last_line: What the client is sent before its connection is closed.
         was_reset: The peer that ended it did so with a reset, which is passed on to the other side.
+        why: What brought it about, for the log.
     """
 
     reason: EndReason
     last_line: bytes = b""
     was_reset: bool = False
+    why: str = ""
 
     @property
     def is_answer(self) -> bool:
--- a/stoatgw/controller/attempts.py
+++ b/stoatgw/controller/attempts.py
@@ -4,6 +4,7 @@
 
 from stoatgw.controller.decision_runner import DecisionRunner
 from stoatgw.controller.messages import (
+    AnswerReason,
     AttemptEnded,
     AttemptEstablished,
     SessionMetricObserved,
@@ -120,7 +121,7 @@
             self._requests.forget(state)
         self._decisions.notify(outcome)
         if state.is_orphaned and not state.is_answered:
-            self._requests.fail(state)
+            self._requests.fail(state, AnswerReason.POLICY_CRASHED)
 
     def handle_metric(self, message: SessionMetricObserved) -> None:
         """Notifies the policy of what was observed on an established session."""
--- a/stoatgw/controller/messages.py
+++ b/stoatgw/controller/messages.py
@@ -23,6 +23,26 @@
     ESTABLISHED = "up"
 
 
+class AnswerReason(Enum):
+    """Why a request was rejected or failed, as the log has it."""
+
+    POLICY = "no server was admitted"
+    DRAINING = "the proxy drains"
+    DEADLINE = "its deadline has passed"
+    DRAIN_ADMISSION_ENDED = "it waited as the drain stopped admitting"
+    POLICY_CRASHED = "the decisions crashed"
+    RESTORE_FAILED = "its session could not be restored"
+
+
+class MigrationReason(Enum):
+    """Why an established session is migrated, as the log has it."""
+
+    DRAIN = "the proxy drains"
+    SERVER_SUSPENDED = "its server is suspended"
+    POLICY = "the load is moved elsewhere"
+    SERVER_UNRESPONSIVE = "its server answers nothing"
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
     """How an attempt ended, as a value: its status, how far it got, and why."""
@@ -78,6 +98,8 @@
         is_answered: The final answer is given, or nobody waits for it.
         is_orphaned: A policy that failed took all knowledge of it away.
         timeout_handle: Posts `RequestTimedOut` at the deadline.
+        answer_reason: Why it was rejected or failed; set before the handler is asked to answer, for the log.
+        migration_reason: Why its session migrates; set before the handler is asked to migrate it, for the log.
     """
 
     request: Request
@@ -93,6 +115,8 @@
     is_answered: bool = False
     is_orphaned: bool = False
     timeout_handle: asyncio.TimerHandle | None = None
+    answer_reason: AnswerReason | None = None
+    migration_reason: MigrationReason | None = None
 
     def begin_attempt(self, server: str, now_us: int) -> None:
         """Counts an attempt as started now."""
@@ -220,6 +244,7 @@
     """A session is due to migrate, in a drain or an evacuation. Posted by the event loop."""
 
     state: RequestState
+    reason: MigrationReason
 
 
 @dataclass(frozen=True, slots=True)
--- a/stoatgw/controller/migrations.py
+++ b/stoatgw/controller/migrations.py
@@ -14,6 +14,7 @@
     EvacuateServer,
     MessageQueue,
     MigrateSession,
+    MigrationReason,
     RebalanceDue,
     RequestState,
 )
@@ -57,7 +58,7 @@
         else:
             self._requests.answer_all_unserved()
         for state, delay_s in zip(sessions, self._drain.migration_delays_s(len(sessions)), strict=True):
-            self._drain_timers.append(post_later(self._queue, delay_s, MigrateSession(state)))
+            self._drain_timers.append(post_later(self._queue, delay_s, MigrateSession(state, MigrationReason.DRAIN)))
 
     def handle_admission_ended(self, _message: DrainAdmissionEnded) -> None:
         """Answers the requests that still wait."""
@@ -87,7 +88,11 @@
         sessions = [state for state in self._requests.established() if state.server == message.server]
         window_s = message.migration_window_us / 1e6
         self._evacuation_timers[message.server] = [
-            post_later(self._queue, window_s * index / len(sessions), MigrateSession(state))
+            post_later(
+                self._queue,
+                window_s * index / len(sessions),
+                MigrateSession(state, MigrationReason.SERVER_SUSPENDED),
+            )
             for index, state in enumerate(sessions)
         ]
 
@@ -97,27 +102,30 @@
         """Migrates a session that is due in a drain or an evacuation, if it is still established."""
         state = message.state
         if state.is_established and state.active_attempt is not None:
-            self._migrate(state)
+            self._migrate(state, message.reason)
 
     def on_established(self, state: RequestState) -> None:
         """Sees to a new session that has to migrate soon: in a drain, or where its server was suspended meanwhile."""
         if self._drain.is_draining:
             delay_s = self._drain.next_late_migration_delay_s(self._decisions.now_us)
             if delay_s > 0:
-                self._drain_timers.append(post_later(self._queue, delay_s, MigrateSession(state)))
+                self._drain_timers.append(
+                    post_later(self._queue, delay_s, MigrateSession(state, MigrationReason.DRAIN))
+                )
             else:
-                self._migrate(state)
+                self._migrate(state, MigrationReason.DRAIN)
         elif state.server in self._evacuation_timers:
-            self._migrate(state)
+            self._migrate(state, MigrationReason.SERVER_SUSPENDED)
 
     def perform_migrate(self, action: Migrate) -> None:
-        """Migrates a session for the policy."""
+        """Migrates a session for the policy, or for a plan of rebalancing that the policy has recorded."""
         state = self._requests.get(action.request_id)
         if state is not None and state.is_established:
             self._counters.add("migrations")
+            state.migration_reason = MigrationReason.POLICY
             state.handler.migrate()
 
-    def _migrate(self, state: RequestState) -> None:
+    def _migrate(self, state: RequestState, reason: MigrationReason) -> None:
         """Migrates a session after the policy has recorded it.
 
         Otherwise the policy would mistake the drain of its own proxy for a fault of the servers, and avoid them all for
@@ -126,6 +134,7 @@
         policy = self._decisions.migrating_policy
         if policy is not None:
             policy.migrate(state.request.request_id)
+        state.migration_reason = reason
         state.handler.migrate()
 
 
--- a/stoatgw/controller/requests.py
+++ b/stoatgw/controller/requests.py
@@ -7,6 +7,7 @@
 from stoatgw.controller.decision_runner import DecisionRunner
 from stoatgw.controller.drain import DrainSchedule
 from stoatgw.controller.messages import (
+    AnswerReason,
     ClientDisconnected,
     MessageQueue,
     RequestReceived,
@@ -83,7 +84,7 @@
         state = message.state
         now_us = self._decisions.now_us
         if not self._drain.is_admitting(now_us):
-            self.reject(state, self._drain.retry_after_us(now_us))
+            self.reject(state, self._drain.retry_after_us(now_us), AnswerReason.DRAINING)
             return
         self.add(state)
         left_s = max(0.0, (state.deadline_us - now_us) / 1e6)
@@ -104,7 +105,7 @@
         if not state.is_answered:
             self._counters.add("requests_timed_out")
             self._notify_disconnected(state)
-            self._answer_unserved(state)
+            self._answer_unserved(state, AnswerReason.DEADLINE)
 
     # Actions of the policy.
 
@@ -112,25 +113,27 @@
         """Rejects a request, unless it has its answer."""
         state = self._states.get(action.request_id)
         if state is not None and not state.is_answered:
-            self.reject(state, action.retry_after_us)
+            self.reject(state, action.retry_after_us, AnswerReason.POLICY)
 
     def perform_fail(self, action: Fail) -> None:
         """Fails a request, unless it has its answer."""
         state = self._states.get(action.request_id)
         if state is not None and not state.is_answered:
-            self.fail(state)
+            self.fail(state, AnswerReason.POLICY)
 
     # Final answers.
 
-    def reject(self, state: RequestState, retry_after_us: int) -> None:
+    def reject(self, state: RequestState, retry_after_us: int, reason: AnswerReason) -> None:
         """Answers that the request was rejected and may be repeated; `retry_after_us` 0 gives no advice."""
+        state.answer_reason = reason
         state.mark_answered()
         self._counters.add("requests_rejected")
         state.handler.reject(retry_after_us)
         self.forget(state)
 
-    def fail(self, state: RequestState) -> None:
+    def fail(self, state: RequestState, reason: AnswerReason) -> None:
         """Answers that the request failed and may have run."""
+        state.answer_reason = reason
         state.mark_answered()
         self._counters.add("requests_failed")
         state.handler.fail()
@@ -139,7 +142,7 @@
     def answer_all_unserved(self) -> None:
         """Answers all requests that wait; their attempts in flight are left to end."""
         for state in self.unanswered():
-            self._answer_unserved(state)
+            self._answer_unserved(state, AnswerReason.DRAIN_ADMISSION_ENDED)
             if state.active_attempt is None:
                 self._notify_disconnected(state)  # the policy may hold it until health checks complete
 
@@ -148,14 +151,14 @@
         for state in self.unanswered():
             state.is_orphaned = True
             if state.active_attempt is None:
-                self.fail(state)
+                self.fail(state, AnswerReason.POLICY_CRASHED)
 
-    def _answer_unserved(self, state: RequestState) -> None:
+    def _answer_unserved(self, state: RequestState, reason: AnswerReason) -> None:
         """Answers without a server: rejects where a repeat is known to be harmless, else fails."""
         if self._is_harmless_to_repeat(state):
-            self.reject(state, self._drain.retry_after_us(self._decisions.now_us))
+            self.reject(state, self._drain.retry_after_us(self._decisions.now_us), reason)
         else:
-            self.fail(state)
+            self.fail(state, reason)
 
     def _is_harmless_to_repeat(self, state: RequestState) -> bool:
         never_ran = state.first_run_us is None and state.active_attempt is None
--- a/stoatgw/service/shutdown.py
+++ b/stoatgw/service/shutdown.py
@@ -28,6 +28,7 @@
     for part in parts:
         part.begin_shutdown()
     await _serve_to_the_end(core, plan, started_us, is_listening=not is_handed_over)
+    _log_cut_sessions(core)
     for part in reversed(parts):
         part.stop()
     core.log_totals("proxy_stopped")
@@ -45,3 +46,9 @@
         if elapsed_us >= plan.min_duration_us and not core.listener.open_connections:
             return
         await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def _log_cut_sessions(core: ProxyCore) -> None:
+    """Log the sessions that end with the process: none should be left."""
+    for request_id, session in core.context.established_sessions.items():
+        core.context.log.event("session_cut", id=request_id, backend=session.server, why="the process ends")
