Sessions end between two lines: whole lines only are sent, and nothing after the end

Cause: a migration was decided on between two lines, but server and client went on being forwarded until the session's tasks were cancelled some turns of the loop later, MOVE came after that; the client's task was cancelled in the middle of a line for the server. Lines to blame: Relay.forward (sent whatever came, ended or not), the 0.5 s of Relay.migrate that ended without MOVE, and serve's cancellation of tasks that held bytes already read. Ruled out on the rig: time-outs, the monitor, crashes (no such log event). Change: both sides are sent whole lines only (LineAligner); nothing is sent to a client behind its session's end, but the replies due to one that ended its own side; a read or a timed-out wait that is cancelled has read nothing; lines that cross MOVE reach the server; MOVE waits 0.2 s for a line's end and is then sent all the same; a client that takes nothing, a failed send and a crash no longer end a sound session half-way; an established session's sockets are closed once no task waits on them; a late cancellation leaves it alone. test_a_move_waits_for_the_end_of_a_line expected half a line at the client before MOVE was due, which is the fault itself: it now holds that nothing of the half line is there before, and the whole line and MOVE after. test_session_state's test of request_migration went with that method; what takes its place is tested for every reason of an end, and SessionMigration by the crossings.

--- a/stoatgw/backends/attempt.py
+++ b/stoatgw/backends/attempt.py
@@ -50,6 +50,7 @@
 
     __slots__ = (
         "_backend",
+        "_break_reason",
         "_clock",
         "_connect_timeout_us",
         "_drain_grace_us",
@@ -92,6 +93,7 @@
         self._sock: socket.socket | None = None
         self._splitter = LineSplitter()
         self._last_keyword = Keyword.OTHER
+        self._break_reason = ""
         self._lines_after_up: list[bytes] = []  # that arrived in one piece with UP
         self.stage = AttemptStage.CONNECTING
         self.established_data = b""
@@ -125,31 +127,46 @@
                 await self._send_request(self._sock, encode_request((deadline_us - now_us) // 1000))
                 return await self._receive_first_reply(self._sock)
         except TimeoutError:
+            if self._has_unread_up():
+                return None
             return self._end(self._failure_status(AttemptStatus.EXPIRED), "timed out")
         except OSError as error:
             return self._end(self._failure_status(AttemptStatus.DROPPED), str(error))
 
     async def relay(self, listener: RelayListener) -> AttemptEnd:
-        """Forward all lines of an established session until the backend ends the connection."""
-        loop = asyncio.get_running_loop()
+        """Forward all that an established session brings until the backend ends the connection."""
+        self._notify(listener, self._lines_after_up)
+        # No buffer is kept while nothing arrives: most sessions are idle most of the time.
+        while data := await self._receive():
+            self._notify(listener, self._splitter.receive_data(data))
+            await listener.forward(data)
+        if self._last_keyword in STATUS_BY_LAST_LINE:
+            self.was_reset = False  # it announced its end: a reset behind that is no sign of a fault
+            return self._end(STATUS_BY_LAST_LINE[self._last_keyword], "ended by the backend")
+        return self._end(AttemptStatus.DROPPED, self._break_reason or "ended by the backend")
+
+    async def _receive(self) -> bytes:
+        """Receive from the established session; b"" at its end, also by a reset."""
         assert self._sock is not None, "relay comes after open"
         try:
-            self._notify(listener, self._lines_after_up)
-            # No buffer is kept while nothing arrives: most sessions are idle most of the time.
-            while data := await loop.sock_recv(self._sock, READ_SIZE_BYTES):
-                self._notify(listener, self._splitter.receive_data(data))
-                await listener.forward(data)
+            return await tcp.receive(self._sock, READ_SIZE_BYTES)
         except OSError as error:
+            self.record_break(error)
+            return b""
+
+    def record_break(self, error: OSError) -> None:
+        """Note that a call on the established session failed: which of its tasks the kernel tells is chance.
+
+        EPIPE alone tells of a backend that has ended in an orderly way, before what was sent to it arrived.
+        """
+        if not isinstance(error, BrokenPipeError):
             self.was_reset = True
-            if self._last_keyword not in STATUS_BY_LAST_LINE:
-                return self._end(AttemptStatus.DROPPED, str(error))
-        status = STATUS_BY_LAST_LINE.get(self._last_keyword, AttemptStatus.DROPPED)
-        return self._end(status, "ended by the backend")
+        self._break_reason = self._break_reason or str(error)
 
     async def send(self, data: bytes) -> None:
         """Send the client's bytes to the backend, with backpressure. Raises OSError."""
         if self._sock is not None:
-            await asyncio.get_running_loop().sock_sendall(self._sock, data)
+            await tcp.send_all(self._sock, data)
 
     def close(self, *, reset: bool = False) -> None:
         """Close at once, with FIN or, if asked, with RST."""
@@ -184,24 +201,46 @@
         self._on_sent()
 
     async def _receive_first_reply(self, sock: socket.socket) -> AttemptEnd | None:
-        loop = asyncio.get_running_loop()
         lines: list[bytes] = []
         while not lines:
-            data = await loop.sock_recv(sock, READ_SIZE_BYTES)
+            data = await tcp.receive(sock, READ_SIZE_BYTES)
             if not data:
                 return self._end(AttemptStatus.DROPPED, "ended without a word")
-            self.established_data += data
-            lines = self._splitter.receive_data(data)
+            lines = self._receive_before_up(data)
             if not lines and self._splitter.is_overlong:
                 return self._end(AttemptStatus.APP_ERROR, "overlong line")
-        reply = parse_reply(lines[0])
-        if reply.keyword is Keyword.UP:
-            self.stage = AttemptStage.ESTABLISHED
-            self._lines_after_up = lines[1:]
+        if self._accept_up(lines):
             return None
+        reply = parse_reply(lines[0])
         status = STATUS_BY_FIRST_REPLY.get(reply.keyword, AttemptStatus.APP_ERROR)
         return self._end(status, lines[0][:MAX_REASON_BYTES].decode("ascii", "replace"), reply.load_report)
 
+    def _receive_before_up(self, data: bytes) -> list[bytes]:
+        self.established_data += data
+        return self._splitter.receive_data(data)
+
+    def _accept_up(self, lines: list[bytes]) -> bool:
+        """Whether the first reply is UP; then the session is established."""
+        if parse_reply(lines[0]).keyword is not Keyword.UP:
+            return False
+        self.stage = AttemptStage.ESTABLISHED
+        self._lines_after_up = lines[1:]
+        return True
+
+    def _has_unread_up(self) -> bool:
+        """Whether UP has come all the same as the wait for it timed out.
+
+        Both may happen in one iteration of the loop; closed over an UP that has come, a sound session would be cut off.
+        """
+        if self._sock is None or self.stage is not AttemptStage.SENT:
+            return False
+        try:
+            data = self._sock.recv(READ_SIZE_BYTES)
+        except OSError:  # nothing has come
+            return False
+        lines = self._receive_before_up(data)
+        return bool(lines) and self._accept_up(lines)
+
     def _notify(self, listener: RelayListener, lines: list[bytes]) -> None:
         if lines:
             self._last_keyword = parse_reply(lines[-1]).keyword
--- a/stoatgw/clients/attempt_runner.py
+++ b/stoatgw/clients/attempt_runner.py
@@ -73,10 +73,18 @@
         self._task.add_done_callback(partial(self._report_never_begun, number))
 
     def cancel(self) -> None:
-        """Cancels the attempt in progress, which still posts its end."""
-        if self._task is not None:
+        """Cancels the attempt in progress, which still posts its end; one that is established is a session, and stays.
+
+        The controller may not have learned yet that it is.
+        """
+        if self._task is not None and not self._served.closer.state.is_established:
             self._task.cancel()
 
+    async def wait(self, timeout_s: float) -> None:
+        """Waits until the attempt in progress is over by itself, or the timeout."""
+        if self._task is not None:
+            await asyncio.wait([self._task], timeout=timeout_s)
+
     async def stop(self) -> None:
         """Cancels the attempt in progress, and waits until it is over."""
         if self._task is not None:
@@ -96,7 +104,7 @@
                 await asyncio.wait([previous])
             attempt = await self._establish(run)
             if attempt is not None:
-                run.end = await served.relay.run(served.request_state, attempt, run.server)
+                run.end = await served.relay.run(attempt, run.server)
         except asyncio.CancelledError:
             run.end = served.closer.state.interrupted_attempt(run.stage)
             raise
@@ -106,6 +114,8 @@
                 AttemptStatus.DROPPED if may_have_run else AttemptStatus.UNUSED, run.stage, repr(error)
             )
             served.record_crash(error)
+            if run.stage is AttemptStage.ESTABLISHED:
+                served.relay.end_after_crash(repr(error))
         finally:
             self._finish(run)
 
@@ -130,6 +140,9 @@
     def _finish(self, run: _AttemptRun) -> None:
         served = self._served
         served.close_attempt(run.attempt)
+        if run.end.status is AttemptStatus.DROPPED and served.closer.state.has_ended:
+            # The proxy, or the client, ended the session first: that its server then does is not its fault.
+            run.end = served.closer.state.interrupted_attempt(run.stage)
         if run.end.status not in UNLOGGED_STATUSES:
             served.log_event(
                 "attempt_failed",
--- a/stoatgw/clients/context.py
+++ b/stoatgw/clients/context.py
@@ -10,6 +10,7 @@
 from stoatgw.backends.latency import MessageLatencyTracker
 from stoatgw.clients.descriptor_limiter import DescriptorLimiter
 from stoatgw.clients.recent_ids import RecentIds
+from stoatgw.clients.session_state import SessionState
 from stoatgw.clock import Clock
 from stoatgw.config.deployment import Deployment
 from stoatgw.controller.controller import Controller
@@ -30,12 +31,14 @@
         state: Its request.
         server: The server that it is connected to.
         latency: The times of its messages.
+        session_state: Whether its client takes what it is sent, among others.
         abandon_server: Migrates the session, as its server is taken to be unresponsive.
     """
 
     state: RequestState
     server: str
     latency: MessageLatencyTracker
+    session_state: SessionState
     abandon_server: Callable[[], None]
 
 
--- /dev/null
+++ b/stoatgw/clients/migration.py
@@ -0,0 +1,73 @@
+"""When a session that is to migrate ends: between two lines, and so that its client gets MOVE. No sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+from stoatgw.clients.session_end import SessionCloser
+from stoatgw.clients.session_state import EndReason, SessionEnd
+from stoatgw.controller.messages import RequestState
+from stoatgw.line_protocol.grammar import MOVE
+from stoatgw.line_protocol.splitter import LineAligner
+from stoatgw.telemetry.log import EventLog
+
+# For how long MOVE waits for the rest of a line that the server has begun. It is sent all the same, without that line.
+LINE_END_TIMEOUT_S = 0.2
+# For how long MOVE waits for a client that takes nothing of what it was sent before: it could not take MOVE either.
+CLIENT_TIMEOUT_S = 1.5
+
+
+class SessionMigration:
+    """Ends a session with MOVE as soon as its client has been sent a complete line, and no other has begun to come."""
+
+    __slots__ = ("_closer", "_log", "_request_state", "_server_lines")
+
+    def __init__(
+        self, log: EventLog, closer: SessionCloser, request_state: RequestState, server_lines: LineAligner
+    ) -> None:
+        """Prepare a migration that may never be asked for; `server_lines` holds what has come of the server's line."""
+        self._log = log
+        self._closer = closer
+        self._request_state = request_state
+        self._server_lines = server_lines
+
+    def begin(self) -> None:
+        """Ends the session now or as soon as may be; does nothing where that was asked for before."""
+        state = self._closer.state
+        if state.is_migrating or state.has_ended:
+            return
+        state.is_migrating = True
+        is_line_open = self._server_lines.holds_data
+        self._log.event(
+            "session_migrating",
+            id=self._request_state.request.request_id,
+            why=self._reason,
+            backend=self._request_state.server,
+            waits_for_client=not state.is_line_complete,
+            waits_for_line_end=is_line_open,
+        )
+        loop = asyncio.get_running_loop()
+        if is_line_open:
+            loop.call_later(LINE_END_TIMEOUT_S, self._finish)
+        else:
+            self._finish()
+        if not state.has_ended:
+            loop.call_later(CLIENT_TIMEOUT_S, self._give_up)
+
+    def line_sent(self) -> None:
+        """The client has been sent a complete line: ends the session if it is to migrate."""
+        if self._closer.state.is_migrating:
+            self._finish()
+
+    def _finish(self) -> None:
+        """Ends the session with MOVE, unless the client has still to take what precedes it."""
+        if self._closer.state.is_line_complete:
+            self._closer.finish(SessionEnd(EndReason.MIGRATED, MOVE + b"\r\n", why=self._reason))
+
+    def _give_up(self) -> None:
+        self._closer.finish(SessionEnd(EndReason.MIGRATED, why=f"{self._reason}; its client takes nothing"))
+
+    @property
+    def _reason(self) -> str:
+        reason = self._request_state.migration_reason
+        return reason.value if reason is not None else ""
--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -8,15 +8,17 @@
 from stoatgw.backends.attempt import READ_SIZE_BYTES, Attempt
 from stoatgw.backends.latency import MessageLatencyTracker
 from stoatgw.clients.context import EstablishedSession, ProxyContext
+from stoatgw.clients.migration import SessionMigration
 from stoatgw.clients.session_end import SessionCloser
 from stoatgw.clients.session_state import EndReason, SessionEnd
 from stoatgw.controller.messages import AttemptEnd, MigrationReason, RequestState, SessionMetricObserved
 from stoatgw.line_protocol.grammar import MOVE, Keyword, encode_error, parse_number, parse_reply
-from stoatgw.line_protocol.splitter import LineSplitter
+from stoatgw.line_protocol.splitter import LineAligner, LineSplitter
+from stoatgw.sockets import tcp
 from stoatgw.telemetry.metrics import RequestOutcome
 
-MAX_EARLY_BYTES = 65_536  # kept of what a client sends while UP is on its way to it
-LINE_BOUNDARY_TIMEOUT_S = 0.5  # how long a MOVE waits for the end of an incomplete line
+# A send failed: how long the other task of the session, which reads, may take to find out why, and to pass the rest on.
+BREAK_CONFIRMATION_S = 0.5
 UNPROMPTED_KEYWORDS = (Keyword.LOAD, Keyword.MOVE, Keyword.BYE)  # lines that answer no line of the client
 
 
@@ -24,32 +26,49 @@
     """Both directions of one session; a `RelayListener` of its attempt.
 
     The client is read from the start, in a task of its own, to notice when it leaves. What it sends reaches the server
-    once UP is passed on. No data is copied or held back on the way: a slow reader on one side slows down the other.
+    once UP is passed on. A slow reader on one side slows down the other.
+
+    Both sides are sent whole lines only, and nothing once the session has ended, but for the lines that were on their
+    way when its client left. So it may end at any moment, for whatever reason, and nobody is left with half a line:
+    half a line that has come is held until its rest has, or until its sender ends the session.
     """
 
     __slots__ = (
         "_attempt",
+        "_attempt_ready",
         "_class_name",
         "_client_lines",
+        "_client_splitter",
         "_closer",
         "_context",
-        "_early_data",
         "_latency",
+        "_migration",
         "_request_state",
+        "_server_lines",
         "_sock",
         "_state",
     )
 
-    def __init__(self, sock: socket.socket, context: ProxyContext, closer: SessionCloser, class_name: str) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        context: ProxyContext,
+        closer: SessionCloser,
+        request_state: RequestState,
+        class_name: str,
+    ) -> None:
         self._sock = sock
         self._context = context
         self._state = closer.state
         self._closer = closer
+        self._request_state = request_state
         self._class_name = class_name
-        self._request_state: RequestState | None = None  # once established
-        self._attempt: Attempt | None = None  # once established and all early data is sent
-        self._early_data = bytearray()
-        self._client_lines = LineSplitter()
+        self._attempt: Attempt | None = None  # once UP is passed on
+        self._attempt_ready: asyncio.Future[None] | None = None  # while the client's task waits for that
+        self._client_splitter = LineSplitter()
+        self._client_lines = LineAligner()
+        self._server_lines = LineAligner()
+        self._migration = SessionMigration(context.log, closer, request_state, self._server_lines)
         self._latency = MessageLatencyTracker()
 
     def record_outcome(self, outcome: RequestOutcome) -> None:
@@ -59,29 +78,33 @@
 
     # The server's side.
 
-    async def run(self, request_state: RequestState, attempt: Attempt, server: str) -> AttemptEnd:
-        """Passes UP on, then all lines both ways until the server ends the session. Raises OSError."""
+    async def run(self, attempt: Attempt, server: str) -> AttemptEnd:
+        """Passes UP on, then all lines both ways until the server ends the session."""
+        request_id = self._request_state.request.request_id
         self._context.counters.add("requests_established")
-        self._context.established_sessions[request_state.request.request_id] = EstablishedSession(
-            request_state, server, self._latency, self.abandon_server
+        self._context.established_sessions[request_id] = EstablishedSession(
+            self._request_state, server, self._latency, self._state, self.abandon_server
         )
-        self._request_state = request_state
         self._state.establish()
-        self._context.log.event("session_established", id=request_state.request.request_id, backend=server)
+        self._context.log.event("session_established", id=request_id, backend=server)
         self.record_outcome(RequestOutcome.SUCCESS)
         await self.forward(attempt.established_data)
-        while self._early_data:  # more may come while this is sent
-            data = bytes(self._early_data)
-            self._early_data.clear()
-            self._observe_client_lines(data)
-            await attempt.send(data)
         self._attempt = attempt
-        return await attempt.relay(self)
-
-    def detach(self, request_state: RequestState) -> None:
+        if self._attempt_ready is not None and not self._attempt_ready.done():
+            self._attempt_ready.set_result(None)
+        end = await attempt.relay(self)
+        await self._send_to_client(self._server_lines.take_held())  # the server ended in the middle of a line
+        return end
+
+    def half_close_server(self) -> None:
+        """Tells the server that its client has ended; what it still sends is passed on."""
+        if self._attempt is not None:
+            self._attempt.half_close()
+
+    def detach(self) -> None:
         """Ends the relaying to an attempt that is over; may be called where none was established."""
         self._attempt = None
-        self._context.established_sessions.pop(request_state.request.request_id, None)
+        self._context.established_sessions.pop(self._request_state.request.request_id, None)
 
     def lines_received(self, lines: list[bytes]) -> None:
         """Observes complete lines of the server, which `forward` passes on."""
@@ -89,98 +112,123 @@
         self._context.counters.add("lines_from_servers", len(lines))
         for line in lines:
             reply = parse_reply(line)
-            if reply.keyword is Keyword.LOAD and self._request_state is not None:
-                self._report_load(self._request_state, reply.fields)
+            if reply.keyword is Keyword.LOAD:
+                self._report_load(reply.fields)
             elif reply.keyword not in UNPROMPTED_KEYWORDS:
                 self._latency.record_reply(line, now_us)
 
-    def _report_load(self, request_state: RequestState, fields: str) -> None:
+    def _report_load(self, fields: str) -> None:
         value = parse_number(fields)
         if value is not None:
-            self._context.controller.post(SessionMetricObserved(request_state, self._context.load_line_kind, value))
+            kind = self._context.load_line_kind
+            self._context.controller.post(SessionMetricObserved(self._request_state, kind, value))
 
     async def forward(self, data: bytes) -> None:
-        """Sends the server's data to the client. Raises OSError."""
+        """Sends the server's lines to the client, once they are complete."""
+        await self._send_to_client(self._server_lines.receive_data(data))
+
+    async def _send_to_client(self, data: bytes) -> None:
+        """Sends bytes to the client, unless the session has ended otherwise than by the client.
+
+        Between the end and the cancellation of this task lie some turns of the event loop: what the server sends in
+        these must not reach the client, behind which only a last line such as MOVE may follow.
+        """
         state = self._state
+        if not data or not state.may_send_to_client():
+            return
         state.is_line_complete = False
-        await asyncio.get_running_loop().sock_sendall(self._sock, data)
-        state.is_line_complete = data.endswith(b"\n")
-        if state.is_migrating and state.is_line_complete:
-            self._closer.finish(SessionEnd(EndReason.MIGRATED, MOVE + b"\r\n", why=self._migration_reason))
+        try:
+            await tcp.send_all(self._sock, data)
+        except OSError as error:
+            await self._confirm_client_break(error)
+            return
+        state.is_line_complete = self._server_lines.is_aligned
+        self._migration.line_sent()
+
+    async def _confirm_client_break(self, error: OSError) -> None:
+        """The client cannot be sent to: its own task reads what it has sent before, and then its end.
+
+        Not the server's fault, and no end of its session by itself: that would lose the client's last lines.
+        """
+        self._state.is_client_gone = True
+        if self._state.has_ended:
+            return
+        await asyncio.sleep(BREAK_CONFIRMATION_S)
+        was_reset = not isinstance(error, BrokenPipeError)
+        self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=was_reset, why=str(error)))
 
     # Migration.
 
     def migrate(self) -> None:
         """Sends the client away with MOVE, between two lines."""
-        is_between_lines = self._state.request_migration()
-        self._context.log.event(
-            "session_migrating",
-            id=self._request_id,
-            why=self._migration_reason,
-            is_between_lines=is_between_lines,
-        )
-        if is_between_lines:
-            self._closer.finish(SessionEnd(EndReason.MIGRATED, MOVE + b"\r\n", why=self._migration_reason))
-        else:
-            # Guards against a server that stops in the middle of a line.
-            given_up = SessionEnd(EndReason.MIGRATED, why=f"{self._migration_reason}; its line did not end")
-            asyncio.get_running_loop().call_later(LINE_BOUNDARY_TIMEOUT_S, self._closer.finish, given_up)
-
-    @property
-    def _request_id(self) -> str | None:
-        return self._request_state.request.request_id if self._request_state is not None else None
-
-    @property
-    def _migration_reason(self) -> str:
-        reason = self._request_state.migration_reason if self._request_state is not None else None
-        return reason.value if reason is not None else ""
+        self._migration.begin()
+
+    def end_after_crash(self, why: str) -> None:
+        """Ends the session after a fault of the program, with MOVE where the client can be sent it: it is sound."""
+        last_line = MOVE + b"\r\n" if self._state.is_line_complete else b""
+        self._closer.finish(SessionEnd(EndReason.MIGRATED, last_line, why=why))
 
     def abandon_server(self) -> None:
         """Migrates the session because its server answers nothing any more."""
         self._state.record_unresponsive_server()
-        if self._request_state is not None:
-            self._request_state.migration_reason = MigrationReason.SERVER_UNRESPONSIVE
+        self._request_state.migration_reason = MigrationReason.SERVER_UNRESPONSIVE
         self.migrate()
 
     # The client's side.
 
     async def read_client(self) -> None:
-        """Reads the client until it leaves, which ends the session, or until its server cannot be written to."""
-        loop = asyncio.get_running_loop()
+        """Reads the client until it leaves, which ends the session, or until its server cannot be written to.
+
+        Goes on reading after an end that leaves the client's last lines on their way, until it is cancelled.
+        """
         try:
-            while data := await loop.sock_recv(self._sock, READ_SIZE_BYTES):
+            while data := await tcp.receive(self._sock, READ_SIZE_BYTES):
                 if not self._state.is_established:
                     self._reject_early_data()
                     return
-                if self._attempt is None:
-                    self._keep_early_data(data)
-                    continue
-                self._observe_client_lines(data)
-                try:
-                    await self._attempt.send(data)
-                except OSError as error:
-                    # The server's last lines may still be on their way to the client.
-                    await asyncio.sleep(LINE_BOUNDARY_TIMEOUT_S)
-                    self._closer.finish(SessionEnd(EndReason.SERVER_ENDED, was_reset=True, why=str(error)))
-                    return
-            self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, why="ended by the client"))
+                await self._send_to_server(self._client_lines.receive_data(data))
         except OSError as error:
-            was_reset = isinstance(error, ConnectionResetError)
+            was_reset = not isinstance(error, BrokenPipeError)
             self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=was_reset, why=str(error)))
+            return
+        if not self._state.has_ended:  # the client ended in the middle of a line, and was not sent away
+            await self._send_to_server(self._client_lines.take_held())
+        self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, why="ended by the client"))
 
     def _reject_early_data(self) -> None:
         """Guards against commands sent before the answer being served as a session: a client waits for UP."""
         self.record_outcome(RequestOutcome.ERROR)
-        self._closer.finish(
-            SessionEnd(EndReason.PROTOCOL_VIOLATED, encode_error("more came before UP"), why="more came before UP")
-        )
-
-    def _keep_early_data(self, data: bytes) -> None:
-        self._early_data += data
-        if len(self._early_data) > MAX_EARLY_BYTES:
-            raise ConnectionError("too much before UP")
-
-    def _observe_client_lines(self, data: bytes) -> None:
-        lines = self._client_lines.receive_data(data)
+        reason = "more came before UP"
+        self._closer.finish(SessionEnd(EndReason.PROTOCOL_VIOLATED, encode_error(reason), why=reason))
+
+    async def _send_to_server(self, data: bytes) -> None:
+        """Sends the client's bytes on; meanwhile the client is not read, however much it sends."""
+        if not data:
+            return
+        attempt = await self._wait_for_attempt()
+        lines = self._client_splitter.receive_data(data)
         self._context.counters.add("lines_from_clients", len(lines))
         self._latency.record_sent(lines, self._context.clock.now_us())
+        try:
+            await attempt.send(data)
+        except OSError as error:
+            attempt.record_break(error)
+            await self._confirm_server_break(error)
+
+    async def _wait_for_attempt(self) -> Attempt:
+        """Waits until UP is passed on."""
+        while self._attempt is None:
+            self._attempt_ready = asyncio.get_running_loop().create_future()
+            await self._attempt_ready
+        return self._attempt
+
+    async def _confirm_server_break(self, error: OSError) -> None:
+        """The server cannot be sent to: the attempt's task reads what it has sent before, and then its end.
+
+        That takes as long as the client takes to read it: an end after a fixed time would cut its last lines off.
+        """
+        while True:
+            await asyncio.sleep(BREAK_CONFIRMATION_S)
+            if self._state.is_line_complete:
+                self._closer.finish(SessionEnd(EndReason.SERVER_ENDED, was_reset=True, why=str(error)))
+                return
--- a/stoatgw/clients/request_handler.py
+++ b/stoatgw/clients/request_handler.py
@@ -9,7 +9,7 @@
 from stoatgw.clients.context import ProxyContext
 from stoatgw.clients.relay import Relay
 from stoatgw.clients.served_request import ServedRequest
-from stoatgw.clients.session_end import SessionCloser
+from stoatgw.clients.session_end import LINGER_S, SessionCloser
 from stoatgw.clients.session_restore import SessionRestorer
 from stoatgw.clients.session_state import EndReason, SessionEnd
 from stoatgw.controller.messages import ClientDisconnected, RequestReceived, RequestState
@@ -17,6 +17,8 @@
 from stoatgw.line_protocol.grammar import SessionRequest, encode_busy, encode_error
 from stoatgw.telemetry.metrics import RequestOutcome
 
+LAST_LINES_TIMEOUT_S = 0.25  # how long lines that crossed MOVE are passed on for, unless the client ends before
+
 
 class SessionRequestHandler:
     """The `RequestHandler` of a client on a socket.
@@ -33,7 +35,7 @@
         self._request = request
         self._closer = closer
         self._request_state = self._create_request_state()
-        self._relay = Relay(sock, context, closer, request.class_name)
+        self._relay = Relay(sock, context, closer, self._request_state, request.class_name)
         self._served = ServedRequest(context, request, self._request_state, closer, self._relay)
         self._attempts = AttemptRunner(self._served)
 
@@ -64,18 +66,46 @@
 
     async def serve(self) -> SessionEnd:
         """Serves the request until the session ends; then no task of it is left, but both connections are open."""
-        reader = asyncio.get_running_loop().create_task(self._relay.read_client())
+        reader = asyncio.get_running_loop().create_task(self._read_client())
         self._context.metrics.open_requests += 1
         self._start()
         try:
-            return await self._closer.wait()
+            end = await self._wait_for_end()
+            await self._pass_last_lines(end, reader)
+            return end
         finally:
-            self._context.metrics.open_requests -= 1
             # A socket may be closed only once no task waits on it.
             await cancel_and_wait(reader)
+            await self._attempts.stop()
+
+    async def _read_client(self) -> None:
+        try:
+            await self._relay.read_client()
+        except Exception as error:
+            self._served.record_crash(error)
+            if self._closer.state.is_established:
+                self._relay.end_after_crash(repr(error))
+            else:
+                self.fail()
+
+    async def _wait_for_end(self) -> SessionEnd:
+        try:
+            return await self._closer.wait()
+        finally:
+            self._context.metrics.open_requests -= 1
             if self._closer.state.must_report_disconnect():
                 self._context.controller.post(ClientDisconnected(self._request_state))
-            await self._attempts.stop()
+
+    async def _pass_last_lines(self, end: SessionEnd, reader: asyncio.Task[None]) -> None:
+        """Passes on what was on its way, from the side that did not end the session, as it ended in an orderly way."""
+        if end.was_reset or not self._closer.state.is_established:
+            return
+        if end.reason is EndReason.CLIENT_DISCONNECTED:
+            self._relay.half_close_server()
+            await self._attempts.wait(LINGER_S)
+        elif end.reason is EndReason.MIGRATED and end.last_line:
+            await self._closer.send_last_line(end)
+            await asyncio.wait([reader], timeout=LAST_LINES_TIMEOUT_S)
 
     def _start(self) -> None:
         if self._request.restore_at is not None:
--- a/stoatgw/clients/served_request.py
+++ b/stoatgw/clients/served_request.py
@@ -47,8 +47,8 @@
         self.context.metrics.dispatches += 1
 
     def close_attempt(self, attempt: Attempt | None) -> None:
-        """Ends the relaying to an attempt that is over, and closes its connection; may be called again."""
-        self.relay.detach(self.request_state)
+        """Ends the relaying to an attempt that is over, and has its connection closed; may be called again."""
+        self.relay.detach()
         if attempt is not None:
             self.closer.close_attempt(attempt)
 
--- a/stoatgw/clients/session_end.py
+++ b/stoatgw/clients/session_end.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable
 
@@ -41,13 +42,14 @@
         state: What has happened to the session so far; only `finish` ends it.
     """
 
-    __slots__ = ("_ended", "_half_closed_attempt", "_sock", "state")
+    __slots__ = ("_ended", "_established_attempt", "_is_last_line_sent", "_sock", "state")
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self.state = SessionState()
         self._ended: asyncio.Future[SessionEnd] = asyncio.get_running_loop().create_future()
-        self._half_closed_attempt: Attempt | None = None  # was established, and the proxy's side of it is shut down
+        self._established_attempt: Attempt | None = None  # that is over, its connection still open
+        self._is_last_line_sent = False
 
     def finish(self, end: SessionEnd) -> None:
         """Ends the session, unless it has ended before."""
@@ -59,30 +61,45 @@
         return asyncio.shield(self._ended)
 
     def close_attempt(self, attempt: Attempt) -> None:
-        """Closes an attempt's connection at once, or only its sending side if the rest is left to `close_both`."""
-        end = self.state.end
-        was_reset = end is not None and end.was_reset
-        is_orderly = end is not None and end.reason in ORDERLY_REASONS and not was_reset
-        if is_orderly and attempt.stage is AttemptStage.ESTABLISHED:
-            # Closed over unread bytes, it would be reset, and the client's last lines might be lost with that.
-            attempt.half_close()
-            self._half_closed_attempt = attempt
+        """Closes the connection of an attempt that is over, or leaves that to `close_both` if it was established.
+
+        The session's other task may be sending on the connection of an established one: closed under it, the
+        descriptor could be another connection's by the time that the task is cancelled.
+        """
+        if attempt.stage is AttemptStage.ESTABLISHED:
+            self._established_attempt = attempt
         else:
-            attempt.close(reset=was_reset)
+            end = self.state.end
+            attempt.close(reset=end is not None and end.was_reset)
+
+    async def send_last_line(self, end: SessionEnd) -> None:
+        """Sends the last line and shuts down sending; the client is still read. Never raises OSError."""
+        self._is_last_line_sent = True
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                await tcp.send_all(self._sock, end.last_line)
+            self._sock.shutdown(socket.SHUT_WR)
 
     async def close_both(self, end: SessionEnd) -> None:
-        """Closes the client's connection, and that of a half-closed attempt beside it."""
+        """Closes the client's connection, and that of its server, once no task of the session uses them."""
         closing: list[Awaitable[None]] = []
         if end.was_reset or end.reason is EndReason.CLIENT_DISCONNECTED:  # nobody is there to read a last line
             tcp.close(self._sock, reset=end.was_reset)
         else:
             linger_s = ANSWERED_LINGER_S if end.is_answer else LINGER_S
-            closing.append(tcp.close_gracefully(self._sock, end.last_line, linger_s))
-        if self._half_closed_attempt is not None:
-            closing.append(self._half_closed_attempt.close_gracefully(LINGER_S))
+            last_line = b"" if self._is_last_line_sent else end.last_line
+            closing.append(tcp.close_gracefully(self._sock, last_line, linger_s))
+        attempt = self._established_attempt
+        if attempt is not None and end.reason in ORDERLY_REASONS and not end.was_reset:
+            # Closed over unread bytes, it would be reset, and the client's last lines might be lost with that.
+            # After a client's end the server has had `LINGER_S` already.
+            is_late = end.reason is EndReason.CLIENT_DISCONNECTED
+            closing.append(attempt.close_gracefully(ANSWERED_LINGER_S if is_late else LINGER_S))
+        elif attempt is not None:
+            attempt.close(reset=end.was_reset)
         await asyncio.gather(*closing)
 
     def abort_attempt(self) -> None:
-        """Closes a half-closed attempt at once; does nothing if it is closed already."""
-        if self._half_closed_attempt is not None:
-            self._half_closed_attempt.close()
+        """Closes an established attempt's connection at once; does nothing if it is closed already."""
+        if self._established_attempt is not None:
+            self._established_attempt.close()
--- a/stoatgw/clients/session_restore.py
+++ b/stoatgw/clients/session_restore.py
@@ -32,12 +32,14 @@
         try:
             attempt = await self._establish()
             if attempt is not None:
-                self._end = await served.relay.run(served.request_state, attempt, self._server)
+                self._end = await served.relay.run(attempt, self._server)
         except asyncio.CancelledError:
             self._end = served.closer.state.interrupted_attempt(AttemptStage.ESTABLISHED)
             raise
         except Exception as error:
             served.record_crash(error)
+            if self._is_established:
+                served.relay.end_after_crash(repr(error))
         finally:
             self._finish()
 
--- a/stoatgw/clients/session_state.py
+++ b/stoatgw/clients/session_state.py
@@ -63,12 +63,14 @@
         is_established: UP is on its way to the client, or has arrived there: this is the request's one answer.
         is_line_complete: What the client was sent ends with a complete line.
         is_migrating: The session is to end as soon as `is_line_complete`.
+        is_client_gone: Sending to the client failed: nothing more is sent to it.
     """
 
     __slots__ = (
         "_interrupted_status",
         "_is_outcome_claimed",
         "end",
+        "is_client_gone",
         "is_established",
         "is_line_complete",
         "is_migrating",
@@ -79,6 +81,7 @@
         self.is_established = False
         self.is_line_complete = True
         self.is_migrating = False
+        self.is_client_gone = False
         self._interrupted_status = AttemptStatus.REVOKED
         self._is_outcome_claimed = False
 
@@ -144,10 +147,15 @@
 
     # Ends.
 
-    def request_migration(self) -> bool:
-        """Asks for the session to end between two lines; returns whether it may end at once."""
-        self.is_migrating = True
-        return self.is_line_complete
+    def may_send_to_client(self) -> bool:
+        """Whether what comes from the server now may still be sent to the client.
+
+        Guards against anything between the line that ended the session, such as MOVE, and the line before it. A client
+        that has ended its side may still read: it gets the replies to its last lines.
+        """
+        if self.is_client_gone:
+            return False
+        return self.end is None or (self.end.reason is EndReason.CLIENT_DISCONNECTED and not self.end.was_reset)
 
     def must_report_disconnect(self) -> bool:
         """Whether the controller has yet to learn that nobody waits for the request, or uses the session, any more.
--- a/stoatgw/line_protocol/splitter.py
+++ b/stoatgw/line_protocol/splitter.py
@@ -45,3 +45,47 @@
             self.is_overlong = True
             self._buffer.clear()
         return not self.is_overlong
+
+
+class LineAligner:
+    """Cuts a stream of bytes, unchanged, so that what it has given always ends with a complete line.
+
+    What follows the last complete line is held until its line is complete. A line over the limit, which no peer may
+    send, is not held: it is given as it comes.
+
+    Attributes:
+        is_aligned: What was given ends with a complete line, and not in the middle of one over the limit.
+    """
+
+    __slots__ = ("_held", "is_aligned")
+
+    def __init__(self) -> None:
+        self._held = b""
+        self.is_aligned = True
+
+    @property
+    def holds_data(self) -> bool:
+        """Whether the beginning of a line has come, and not its end."""
+        return bool(self._held)
+
+    def receive_data(self, data: bytes) -> bytes:
+        """Add bytes and return those that may go on; b"" while no line is complete."""
+        end = data.rfind(b"\n") + 1
+        if end == len(data) and not self._held:
+            self.is_aligned = True
+            return data
+        if not end and not self.is_aligned:
+            return data
+        complete = self._held + data[:end] if end else b""
+        self._held = data[end:] if end else self._held + data
+        self.is_aligned = True
+        if len(self._held) > MAX_LINE_BYTES:
+            self.is_aligned = False
+            complete += self.take_held()
+        return complete
+
+    def take_held(self) -> bytes:
+        """Return, once, what is held: the stream has ended in the middle of a line."""
+        held = self._held
+        self._held = b""
+        return held
--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -4,11 +4,16 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import struct
 from collections.abc import Iterator
 
 ACCEPT_RETRY_INTERVAL_S = 0.02  # after a failed accept, such as one for want of descriptors
+# For want of the kernel's memory a call fails on a connection that is sound: it is repeated for a second.
+TRANSIENT_ERRNOS = (errno.ENOBUFS, errno.ENOMEM)
+TRANSIENT_RETRY_INTERVAL_S = 0.02
+MAX_TRANSIENT_RETRIES = 50
 MAX_DISCARDED_BYTES = 1024 * 1024  # read and thrown away at a connection's end
 _DISCARD_BUFFER = bytearray(65536)  # shared by all: nobody looks at what is in it
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -46,28 +51,68 @@
     return sock
 
 
+def _set_ready(ready: asyncio.Future[None]) -> None:
+    if not ready.done():
+        ready.set_result(None)
+
+
 async def wait_readable(sock: socket.socket) -> None:
     """Wait until there is something to read or to accept; nothing is consumed.
 
-    The loop's own sock_accept would lose what it had accepted if it were cancelled in the same iteration.
+    The loop's own sock_accept would lose what it had accepted if it were cancelled in the same iteration. The socket
+    must stay open until the wait has ended: its descriptor would be another socket's by then.
     """
     loop = asyncio.get_running_loop()
-    ready = asyncio.Event()
-    loop.add_reader(sock.fileno(), ready.set)
+    ready = loop.create_future()
+    descriptor = sock.fileno()
+    loop.add_reader(descriptor, _set_ready, ready)
     try:
-        await ready.wait()
+        await ready
     finally:
-        loop.remove_reader(sock.fileno())
+        loop.remove_reader(descriptor)
 
 
 async def _wait_writable(sock: socket.socket) -> None:
     loop = asyncio.get_running_loop()
-    ready = asyncio.Event()
-    loop.add_writer(sock.fileno(), ready.set)
+    ready = loop.create_future()
+    descriptor = sock.fileno()
+    loop.add_writer(descriptor, _set_ready, ready)
     try:
-        await ready.wait()
+        await ready
     finally:
-        loop.remove_writer(sock.fileno())
+        loop.remove_writer(descriptor)
+
+
+class _TransientErrors:
+    """How often a call on a sound connection may fail for want of the kernel's memory before its error counts."""
+
+    def __init__(self) -> None:
+        self._retries_left = MAX_TRANSIENT_RETRIES
+
+    async def wait(self, error: OSError) -> None:
+        """Wait before the call is repeated. Raises the error if it is of another kind, or came too often."""
+        if error.errno not in TRANSIENT_ERRNOS or not self._retries_left:
+            raise error
+        self._retries_left -= 1
+        await asyncio.sleep(TRANSIENT_RETRY_INTERVAL_S)
+
+
+async def receive(sock: socket.socket, max_bytes: int) -> bytes:
+    """Wait for bytes and return them; b"" at the end of the stream. Raises OSError.
+
+    The loop's own sock_recv reads in one iteration and returns in the next: cancelled between the two, it loses what
+    it has read. A caller that is cancelled in here has read nothing.
+    """
+    failures: _TransientErrors | None = None
+    while True:
+        await wait_readable(sock)
+        try:
+            return sock.recv(max_bytes)
+        except (BlockingIOError, InterruptedError):
+            continue
+        except OSError as error:
+            failures = failures or _TransientErrors()
+            await failures.wait(error)
 
 
 async def send_all(sock: socket.socket, data: bytes) -> None:
@@ -77,9 +122,16 @@
     would make a line that may run look like one that never ran.
     """
     unsent = memoryview(data)
+    failures: _TransientErrors | None = None
     while True:
-        with contextlib.suppress(BlockingIOError, InterruptedError):
+        try:
             unsent = unsent[sock.send(unsent) :]
+        except (BlockingIOError, InterruptedError):
+            pass
+        except OSError as error:
+            failures = failures or _TransientErrors()
+            await failures.wait(error)
+            continue
         if not unsent:
             return
         await _wait_writable(sock)
--- a/tests/test_session_ends.py
+++ b/tests/test_session_ends.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -38,7 +39,20 @@
         assert await rig.call(port, f"/v1/session-servers/{server}/suspend") == 200
 
 
-@pytest.mark.parametrize("end_sessions", [drain, suspend_all_servers])
+async def terminate(rig: ConversationRig) -> None:
+    program, _ = await rig.start_process()
+    await rig.start_sessions(SESSIONS)
+    program.send_signal(signal.SIGTERM)
+
+
+async def replace_process(rig: ConversationRig) -> None:
+    old, _ = await rig.start_process()
+    await rig.start_sessions(SESSIONS)
+    await rig.start_process()
+    old.send_signal(signal.SIGTERM)
+
+
+@pytest.mark.parametrize("end_sessions", [drain, suspend_all_servers, terminate, replace_process])
 def test_sessions_that_the_proxy_ends_are_moved_between_two_lines(
     end_sessions: Callable[[ConversationRig], Awaitable[None]], tmp_path: Path
 ) -> None:
@@ -46,5 +60,8 @@
         async with conversation_rig(tmp_path) as rig:
             await end_sessions(rig)
             assert await rig.wait_for_ends() == []
+        ends = [event for event in rig.log if event["event"] == "session_ended" and event["was_established"]]
+        assert [(end["reason"], end["answer"]) for end in ends] == [("migrated", "MOVE")] * SESSIONS
+        assert all(end["why"] for end in ends)
 
     asyncio.run(play())
--- a/tests/test_session_state.py
+++ b/tests/test_session_state.py
@@ -69,14 +69,15 @@
     assert state.interrupted_attempt(stage).stage is stage
 
 
-def test_a_migration_waits_for_the_end_of_a_line() -> None:
+@pytest.mark.parametrize("reason", EndReason)
+@pytest.mark.parametrize("was_reset", [False, True])
+def test_nothing_is_sent_to_the_client_behind_the_end_but_for_its_own(reason: EndReason, was_reset: bool) -> None:
     state = SessionState()
-    state.is_line_complete = False
-    assert not state.request_migration()
-    assert state.is_migrating
-    assert not state.has_ended
-    state.is_line_complete = True
-    assert state.request_migration()
+    assert state.may_send_to_client()
+    state.finish(SessionEnd(reason, was_reset=was_reset))
+    assert state.may_send_to_client() == (reason is EndReason.CLIENT_DISCONNECTED and not was_reset)
+    state.is_client_gone = True
+    assert not state.may_send_to_client()
 
 
 @pytest.mark.parametrize(
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -17,9 +17,11 @@
 from stoatgw.clients.context import EstablishedSession, ProxyContext
 from stoatgw.clients.descriptor_limiter import DescriptorLimiter
 from stoatgw.clients.listener import Listener
+from stoatgw.clients.migration import LINE_END_TIMEOUT_S
 from stoatgw.clients.recent_ids import RecentIds
-from stoatgw.clients.relay import LINE_BOUNDARY_TIMEOUT_S
+from stoatgw.clients.relay import Relay
 from stoatgw.clients.session_monitor import MONITOR_INTERVAL_S, SessionMonitor
+from stoatgw.clients.session_state import SessionState
 from stoatgw.clock import Clock
 from stoatgw.config.deployment import Address, parse_deployment
 from stoatgw.controller.controller import Controller
@@ -99,6 +101,19 @@
     def _health_checks_ended(self) -> int:
         return sum(count for name, count in self.counters.all().items() if name.startswith("health_checks_"))
 
+    @property
+    def only_relay(self) -> Relay:
+        """The relay of the only established session."""
+        (session,) = self.context.established_sessions.values()
+        relay = session.abandon_server.__self__  # type: ignore[attr-defined]
+        assert isinstance(relay, Relay)
+        return relay
+
+    async def wait_for_half_a_line(self) -> None:
+        """Wait until half a line of the server of the only session has come."""
+        while not self.only_relay._server_lines.holds_data:
+            await asyncio.sleep(0.005)
+
     async def wait_until_idle(self) -> None:
         """Wait until no connection, request or session is left."""
         async with asyncio.timeout(5):
@@ -216,10 +231,12 @@
         reader, writer = await proxy.open_session()
         await reader.readline()
         writer.write(b"HALF\r\n")
-        assert await reader.readexactly(3) == b"hal"
-        proxy.context.established_sessions["0000000000000001"].abandon_server()
+        session = proxy.context.established_sessions["0000000000000001"]
+        await proxy.wait_for_half_a_line()
+        assert not reader._buffer  # type: ignore[attr-defined]  # half a line could not be followed by MOVE
+        session.abandon_server()
         writer.write(b"f\r\n")
-        assert await reader.read() == b"f\r\nMOVE\r\n"
+        assert await reader.read() == b"half\r\nMOVE\r\n"
         writer.close()
         await proxy.wait_until_idle()
 
@@ -471,9 +488,9 @@
             messages.record_sent([b"next"], start_us + silent_us)
             state = RequestState(Request("0" * 16, 0, 2_000_000), 0, None)  # type: ignore[arg-type]
             proxy.context.established_sessions = {
-                "x": EstablishedSession(state, "s", messages, lambda: abandoned.append(1))
+                "x": EstablishedSession(state, "s", messages, SessionState(), lambda: abandoned.append(1))
             }
-            latest_us = start_us + 7_000_000 - int((MONITOR_INTERVAL_S + LINE_BOUNDARY_TIMEOUT_S) * 1e6)
+            latest_us = start_us + 7_000_000 - int((MONITOR_INTERVAL_S + LINE_END_TIMEOUT_S) * 1e6)
             proxy.context.clock = SimpleNamespace(now_us=lambda latest_us=latest_us: latest_us)  # type: ignore[assignment]
             SessionMonitor(proxy.context).check_sessions(reports_latency=False)
         assert abandoned == [1, 1]
