Crossings of a session's end, each forced by a test; who waits is answered before the process ends

Change: tests/test_session_crossings.py forces, in process, bytes that cross MOVE both ways, half lines, paused clients, servers that do not read, ends in mid-line, half-closed clients, UP crossing a time-out and a cancellation, crashes, transient errors, descriptors; the real-process test plays each of its four causes also with servers that stop in mid-line for good. A connection that may send its request at any moment, and a request whose session is still to be restored, get BUSY 0.3 s before the process's latest end: they got none.

--- a/stoatgw/clients/context.py
+++ b/stoatgw/clients/context.py
@@ -59,6 +59,7 @@
         request_ids: Owned by this package: request readers register ids, sessions mark them as ended.
         established_sessions: By request id. Owned by this package: an attempt adds its session and removes it again;
             the session monitor, maintenance and management only read it.
+        restoring: Requests whose sessions are still to be restored, by id; each is called to reject its request.
         lifecycle: Changed by the service on signals, and by management and maintenance; sessions only read it.
         class_indexes: The settings' classes by name.
         tenant_indexes: The settings' tenants by name.
@@ -76,6 +77,7 @@
     descriptor_limiter: DescriptorLimiter
     request_ids: RecentIds = field(default_factory=RecentIds)
     established_sessions: dict[str, EstablishedSession] = field(default_factory=dict)
+    restoring: dict[str, Callable[[], None]] = field(default_factory=dict)
     lifecycle: ProxyLifecycle = field(default_factory=ProxyLifecycle)
     class_indexes: dict[str, int] = field(default_factory=dict)
     tenant_indexes: dict[str, int] = field(default_factory=dict)
--- a/stoatgw/clients/descriptor_limiter.py
+++ b/stoatgw/clients/descriptor_limiter.py
@@ -63,6 +63,11 @@
         oldest.expire()
         return True
 
+    def evict_all(self) -> None:
+        """Evicts every idle connection: the process is about to end."""
+        while self._evict_oldest():
+            pass
+
     def add_idle(self, connection: IdleConnection) -> None:
         """Counts a connection that waits for its request, until `remove_idle`."""
         self._idle_connections[connection] = None
--- a/stoatgw/clients/session_restore.py
+++ b/stoatgw/clients/session_restore.py
@@ -29,6 +29,7 @@
     async def run(self) -> None:
         """Connects, relays the session until it ends, and reports what came of it."""
         served = self._served
+        served.context.restoring[served.request.request_id] = self._reject
         try:
             attempt = await self._establish()
             if attempt is not None:
@@ -43,6 +44,15 @@
         finally:
             self._finish()
 
+    def _reject(self) -> None:
+        """The process is about to end, and its client is owed an answer."""
+        state = self._served.request_state
+        state.answer_reason = AnswerReason.DRAINING
+        if self._attempt is not None and self._attempt.stage is AttemptStage.SENT:
+            state.handler.fail()  # it may have run
+        else:
+            state.handler.reject(0)
+
     async def _establish(self) -> Attempt | None:
         """Makes attempts until one is established; None if there is no use in a further one, or no time."""
         context = self._served.context
@@ -66,6 +76,7 @@
         self._end = await attempt.open(lambda _: served.request.line + b"\r\n", deadline_us)
         if self._end is None:
             self._is_established = True
+            served.context.restoring.pop(served.request.request_id, None)
             served.context.controller.post(SessionRestored(served.request_state, self._server))
         else:
             served.close_attempt(attempt)
@@ -73,7 +84,9 @@
 
     def _finish(self) -> None:
         served = self._served
-        served.close_attempt(self._attempt)
+        served.context.restoring.pop(served.request.request_id, None)
+        if self._attempt is not None:
+            served.close_attempt(self._attempt)
         if self._is_established:
             end = self._end or AttemptEnd(AttemptStatus.DROPPED, AttemptStage.ESTABLISHED, "fault")
             served.post_attempt_end(0, end)
--- a/stoatgw/service/shutdown.py
+++ b/stoatgw/service/shutdown.py
@@ -10,6 +10,8 @@
 from stoatgw.service.part import ServicePart
 
 POLL_INTERVAL_S = 0.02
+# Who waits without an answer gets one so long before the latest end: longer than a rejected connection lingers.
+FINAL_ANSWER_LEAD_US = 300_000
 BACKLOG_LEAD_US = 50_000  # the backlog is accepted, and the listener closed, so long before the earliest end
 
 
@@ -36,6 +38,7 @@
 
 async def _serve_to_the_end(core: ProxyCore, plan: ShutdownPlan, started_us: int, *, is_listening: bool) -> None:
     """Wait until all connections have ended, at least for the plan's shortest duration and at most for its longest."""
+    is_closing = False
     while True:
         elapsed_us = core.context.clock.now_us() - started_us
         if elapsed_us >= plan.max_duration_us:
@@ -43,11 +46,24 @@
         if is_listening and elapsed_us >= plan.min_duration_us - BACKLOG_LEAD_US:
             is_listening = False
             await core.listener.close()
+        if not is_closing and elapsed_us >= plan.max_duration_us - FINAL_ANSWER_LEAD_US:
+            is_closing = True
+            _answer_waiting(core)
         if elapsed_us >= plan.min_duration_us and not core.listener.open_connections:
             return
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
+def _answer_waiting(core: ProxyCore) -> None:
+    """Answer who has waited from before the end: a request that crosses the process's end would get no answer.
+
+    Those are connections that may send their request at any moment, and requests whose session was not restored yet.
+    """
+    core.context.descriptor_limiter.evict_all()
+    for reject in list(core.context.restoring.values()):
+        reject()
+
+
 def _log_cut_sessions(core: ProxyCore) -> None:
     """Log the sessions that end with the process: none should be left."""
     for request_id, session in core.context.established_sessions.items():
--- a/tests/session_ends.py
+++ b/tests/session_ends.py
@@ -10,7 +10,7 @@
 import socket
 import sys
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from tests.proxy_process import free_port, next_event, start_discovery, write_config
@@ -39,6 +39,7 @@
 
     Attributes:
         was_reset: The client's connection ended with a reset.
+        has_stalled: Its server has written half a line, and writes no more.
     """
 
     number: int
@@ -47,6 +48,7 @@
     server_received: bytes = b""
     server_sent: bytes = b""
     was_reset: bool = False
+    has_stalled: asyncio.Event = field(default_factory=asyncio.Event)
 
     def faults(self) -> list[str]:
         """What a sound client or server complains of: a reset, half a line, a changed line, or no MOVE."""
@@ -70,6 +72,7 @@
         self._listening = socket.create_server(("127.0.0.1", 0), backlog=256)
         self._by_id: dict[bytes, Conversation] = {}
         self._last_number = 0
+        self.servers_stall = False  # in the middle of their next line, for good
         self._open_sessions = 0  # at all session servers
         self._clients: list[asyncio.Task[None]] = []
         self._programs: list[asyncio.subprocess.Process] = []
@@ -141,6 +144,12 @@
             del self._by_id[request_id]
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    async def stall_servers(self) -> None:
+        """Has all servers stop in the middle of a line, and waits until they have."""
+        self.servers_stall = True
+        for conversation in self._by_id.values():
+            await conversation.has_stalled.wait()
+
     async def wait_for_ends(self) -> list[str]:
         """Waits until every session has ended; what was wrong with them."""
         await asyncio.gather(*self._clients)
@@ -205,6 +214,11 @@
             if not line.endswith(b"\n"):
                 return
             answer = b"E " + line
+            if self.servers_stall:
+                writer.write(pieces(answer)[0])
+                conversation.has_stalled.set()
+                conversation.server_received += await reader.read()
+                return
 
 
 @contextlib.asynccontextmanager
--- /dev/null
+++ b/tests/test_session_crossings.py
@@ -0,0 +1,536 @@
+"""The end of a session crosses what is on its way on either side, each forced into the order that goes wrong."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import os
+import socket
+from typing import Any
+
+import pytest
+import uvloop
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stoatgw.backends.attempt import Attempt
+from stoatgw.clients import migration
+from stoatgw.clients.relay import Relay
+from stoatgw.clients.session_monitor import UNANSWERED_TIMEOUT_US, SessionMonitor
+from stoatgw.controller.messages import AttemptEnd, AttemptEnded, AttemptEstablished, BeginDrain, Message
+from stoatgw.decisions.interface import AttemptStatus, Cancel
+from stoatgw.line_protocol.splitter import MAX_LINE_BYTES, LineAligner
+from stoatgw.service import shutdown
+from stoatgw.service.core import ProxyCore
+from stoatgw.sockets import tcp
+from tests.test_line_protocol import cut
+from tests.test_service import make_core
+from tests.test_sessions import LoopbackProxy, Serve, Streams, run_loopback, serve_echo
+
+FIXED = settings(derandomize=True, deadline=None, max_examples=150)
+FLOOD = (b"x" * 998 + b"\r\n") * 20_000  # more than the sockets' buffers hold
+
+
+# What may be sent on.
+
+
+@FIXED
+@given(
+    st.lists(st.binary(max_size=20) | st.integers(MAX_LINE_BYTES - 5, MAX_LINE_BYTES + 5).map(bytes), max_size=6),
+    st.lists(st.integers(0, 20_000)),
+)
+def test_lines_pass_unchanged_and_only_whole_however_they_are_cut(parts: list[bytes], places: list[int]) -> None:
+    data = b"\r\n".join(parts)
+    aligner = LineAligner()
+    given = b""
+    for piece in cut(data, places):
+        given += aligner.receive_data(piece)
+        is_overlong = len(given) - (given.rfind(b"\n") + 1) > 0
+        assert aligner.is_aligned != is_overlong
+        assert data.startswith(given)
+        assert not aligner.holds_data or len(aligner._held) <= MAX_LINE_BYTES
+    assert given + aligner.take_held() == data
+
+
+def test_a_read_that_is_cancelled_as_data_arrives_has_read_nothing() -> None:
+    async def test() -> None:
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        with ours, theirs:
+            reading = asyncio.create_task(tcp.receive(ours, 100))
+            await asyncio.sleep(0)
+            theirs.send(b"line\r\n")
+            # In the iteration in which the socket becomes readable, before the task has run again.
+            asyncio.get_running_loop().call_later(0.01, reading.cancel)
+            while not reading.done():
+                await asyncio.sleep(0)
+            received = b"" if reading.cancelled() else reading.result()
+            assert received + (ours.recv(100) if not received else b"") == b"line\r\n"
+
+    uvloop.run(test())
+
+
+class FailingSocket(socket.socket):
+    """Fails some calls for want of memory before each that succeeds."""
+
+    failures_left = 3
+
+    def _fail(self) -> None:
+        if self.failures_left:
+            self.failures_left -= 1
+            raise OSError(errno.ENOBUFS, os.strerror(errno.ENOBUFS))
+        self.failures_left = 3
+
+    def recv(self, *args: Any) -> bytes:
+        self._fail()
+        return super().recv(*args)
+
+    def send(self, *args: Any) -> int:
+        self._fail()
+        return super().send(*args)
+
+
+def test_a_call_that_fails_for_want_of_memory_ends_no_sound_connection() -> None:
+    async def test() -> None:
+        left, right = (FailingSocket(fileno=each.detach()) for each in socket.socketpair())
+        with left, right:
+            left.setblocking(False)
+            right.setblocking(False)
+            await tcp.send_all(left, b"line\r\n")
+            assert await tcp.receive(right, 100) == b"line\r\n"
+            left.failures_left = tcp.MAX_TRANSIENT_RETRIES + 1
+            with pytest.raises(OSError, match="buffer space"):
+                await tcp.send_all(left, b"line\r\n")
+
+    uvloop.run(test())
+
+
+# Migrations.
+
+
+async def serve_half_lines(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """UP, then half a reply to each line, and never its rest."""
+    writer.write(b"UP 77\r\n")
+    with contextlib.suppress(ConnectionError):
+        while line := await reader.readline():
+            writer.write(line[:3])
+    writer.close()
+
+
+def test_bytes_of_the_server_that_cross_move_are_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The next line comes in the very step in which the migration is decided on."""
+
+    async def test(proxy: LoopbackProxy) -> None:
+        forward = Relay.forward
+
+        async def forward_after_decision(self: Relay, data: bytes) -> None:
+            if data == b"second\r\n":
+                self.migrate()
+            await forward(self, data)
+
+        monkeypatch.setattr(Relay, "forward", forward_after_decision)
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        writer.write(b"first\r\n")
+        assert await reader.readline() == b"first\r\n"
+        writer.write(b"second\r\n")
+        assert await reader.read() == b"MOVE\r\n"
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_echo, test)
+
+
+def test_move_is_sent_without_a_line_that_does_not_end() -> None:
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        writer.write(b"first\r\n")
+        await proxy.wait_for_half_a_line()
+        proxy.controller.post(BeginDrain(0, 1))
+        assert await reader.read() == b"MOVE\r\n"
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_half_lines, test)
+
+
+async def serve_flood(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """UP, and then more than the client's and the proxy's sockets hold; ends with BYE once that is taken."""
+    writer.write(b"UP 77\r\n" + FLOOD)
+    with contextlib.suppress(ConnectionError):
+        await writer.drain()
+        writer.write(b"BYE\r\n")
+    writer.close()
+
+
+async def open_blocked_session(proxy: LoopbackProxy) -> Streams:
+    """A session whose client takes nothing, up to where the proxy can send it no more."""
+    streams = await proxy.open_session()
+    streams[0]._transport.pause_reading()  # type: ignore[attr-defined]
+    while not proxy.context.established_sessions or proxy.only_relay._state.is_line_complete:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.05)
+    assert not proxy.only_relay._state.is_line_complete
+    return streams
+
+
+def test_move_waits_for_a_client_that_pauses_its_reading() -> None:
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await open_blocked_session(proxy)
+        proxy.controller.post(BeginDrain(0, 1))
+        await asyncio.sleep(2 * migration.LINE_END_TIMEOUT_S)
+        reader._transport.resume_reading()  # type: ignore[attr-defined]
+        received = await reader.read()
+        writer.close()
+        assert received.endswith(b"\r\nMOVE\r\n")
+        assert (b"UP 77\r\n" + FLOOD).startswith(received.removesuffix(b"MOVE\r\n"))
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_flood, test)
+
+
+def test_a_client_that_takes_nothing_does_not_hold_a_migration_up_for_good(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(migration, "CLIENT_TIMEOUT_S", 0.1)
+
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await open_blocked_session(proxy)
+        proxy.controller.post(BeginDrain(0, 1))
+        await proxy.wait_until_idle()
+        reader._transport.resume_reading()  # type: ignore[attr-defined]
+        assert b"MOVE" not in await reader.read()
+        writer.close()
+
+    run_loopback(serve_flood, test)
+
+
+def test_a_server_whose_client_takes_nothing_is_not_unresponsive() -> None:
+    """Its replies stand unread for longer than a silent server is waited for: both sides are sound."""
+
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await open_blocked_session(proxy)
+        latency = proxy.only_relay._latency
+        latency.record_sent([b"asked"], proxy.clock.now_us() - 2 * UNANSWERED_TIMEOUT_US)
+        SessionMonitor(proxy.context).check_sessions(reports_latency=False)
+        assert not latency.pending  # from now on, if its client goes on reading
+        reader._transport.resume_reading()  # type: ignore[attr-defined]
+        assert await reader.read() == b"UP 77\r\n" + FLOOD + b"BYE\r\n"
+        assert proxy.counters["sessions_unanswered"] == 0
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_flood, test)
+
+
+# Lines of the client.
+
+
+async def serve_late_reader(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """UP, and then nothing is read for a while; the number of bytes that came is its last line."""
+    writer.write(b"UP 77\r\n")
+    await asyncio.sleep(0.5)
+    count = 0
+    while not (data := await reader.read(1 << 20)).endswith(b"END\r\n"):
+        count += len(data)
+    writer.write(b"%d\r\nBYE\r\n" % (count + len(data)))
+    writer.close()
+
+
+def test_a_client_may_send_any_amount_while_its_server_does_not_read() -> None:
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        writer.write(FLOOD + b"END\r\n")
+        assert await reader.read() == b"%d\r\nBYE\r\n" % (len(FLOOD) + 5)
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_late_reader, test)
+
+
+def test_a_client_may_send_any_amount_while_up_is_on_its_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(proxy: LoopbackProxy) -> None:
+        may_pass_up = asyncio.Event()
+        forward = Relay.forward
+
+        async def forward_late(self: Relay, data: bytes) -> None:
+            await may_pass_up.wait()
+            await forward(self, data)
+
+        monkeypatch.setattr(Relay, "forward", forward_late)
+        reader, writer = await proxy.open_session()
+        while not proxy.context.established_sessions:
+            await asyncio.sleep(0.01)
+        writer.write(FLOOD + b"END\r\n")
+        await asyncio.sleep(0.05)
+        may_pass_up.set()
+        assert await reader.read() == b"UP 77\r\n%d\r\nBYE\r\n" % (len(FLOOD) + 5)
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_late_reader, test)
+
+
+def serve_recorded(received: list[bytes]) -> Serve:
+    """Records all that comes after the request; ends when the client's side does."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP 77\r\n")
+        received.append(await reader.read())
+        writer.close()
+
+    return serve
+
+
+async def wait_for_record(received: list[bytes]) -> bytes:
+    while not received:
+        await asyncio.sleep(0.01)
+    return received[0]
+
+
+def test_lines_that_cross_move_reach_the_server_and_half_a_line_does_not() -> None:
+    received: list[bytes] = []
+
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        proxy.only_relay.migrate()
+        writer.write(b"on its way\r\nhal")
+        assert await reader.read() == b"MOVE\r\n"
+        writer.write(b"f\r\nhalf")
+        writer.close()
+        assert await wait_for_record(received) == b"on its way\r\nhalf\r\n"
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_recorded(received), test)
+
+
+def test_a_client_that_ends_in_the_middle_of_a_line_is_passed_on_unchanged() -> None:
+    received: list[bytes] = []
+
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        writer.write(b"whole\r\nhal")
+        writer.close()
+        assert await wait_for_record(received) == b"whole\r\nhal"
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_recorded(received), test)
+
+
+# The ends of either side.
+
+
+def test_a_client_that_has_ended_its_side_gets_the_replies_to_its_last_lines() -> None:
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        writer.write(b"last\r\n")
+        writer.write_eof()
+        assert await reader.read() == b"last\r\n"
+        writer.close()
+        await proxy.wait_until_idle()
+        assert proxy.counters["attempts_revoked"] == 1  # it is no fault of its server
+
+    run_loopback(serve_echo, test)
+
+
+def test_a_client_that_cannot_be_sent_to_is_no_fault_of_its_server(monkeypatch: pytest.MonkeyPatch) -> None:
+    ends: list[AttemptEnd] = []
+
+    async def test(proxy: LoopbackProxy) -> None:
+        post = proxy.controller.post
+
+        def observe(message: Message) -> None:
+            if isinstance(message, AttemptEnded):
+                ends.append(message.end)
+            post(message)
+
+        monkeypatch.setattr(proxy.controller, "post", observe)
+        _, writer = await open_blocked_session(proxy)
+        writer.transport.abort()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_flood, test)
+    assert [end.status for end in ends] == [AttemptStatus.REVOKED]
+
+
+def test_the_last_lines_of_a_server_arrive_though_it_can_no_longer_be_sent_to() -> None:
+    """It ends, a line of the client crosses that, and the client takes longer to read than the kernel tells why."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP 77\r\n" + FLOOD + b"BYE\r\n")
+        await writer.drain()
+        writer.close()
+
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await open_blocked_session(proxy)
+        for _ in range(3):
+            writer.write(b"anyone there?\r\n")
+            await asyncio.sleep(0.3)
+        reader._transport.resume_reading()  # type: ignore[attr-defined]
+        assert await reader.read() == b"UP 77\r\n" + FLOOD + b"BYE\r\n"
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve, test)
+
+
+def test_a_server_that_ends_in_the_middle_of_a_line_is_passed_on_unchanged() -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP 77\r\nwhole\r\nhal")
+        writer.close()
+
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await proxy.open_session()
+        assert await reader.read() == b"UP 77\r\nwhole\r\nhal"
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve, test)
+
+
+def test_no_descriptor_is_closed_while_a_task_waits_on_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The server resets while a line of the client's waits for it: the descriptor could be another session's next."""
+    waiting: set[int] = set()
+    wait_writable = tcp._wait_writable
+    close = tcp.close
+
+    async def record_wait(sock: socket.socket) -> None:
+        descriptor = sock.fileno()
+        waiting.add(descriptor)
+        try:
+            await wait_writable(sock)
+        finally:
+            waiting.discard(descriptor)
+
+    closed_early: list[int] = []
+
+    def record_close(sock: socket.socket, *, reset: bool = False) -> None:
+        closed_early.extend({sock.fileno()} & waiting)
+        close(sock, reset=reset)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP 77\r\n")
+        reader._transport.pause_reading()  # type: ignore[attr-defined]
+        await asyncio.sleep(0.2)
+        writer.write(b"BYE\r\n")
+        writer.write_eof()  # it ends, and still does not read
+        await asyncio.sleep(0.3)
+        writer.close()
+
+    async def test(proxy: LoopbackProxy) -> None:
+        monkeypatch.setattr(tcp, "_wait_writable", record_wait)
+        monkeypatch.setattr(tcp, "close", record_close)
+        reader, writer = await proxy.open_session()
+        writer.write(b"")
+        assert await reader.readline() == b"UP 77\r\n"
+        writer.write(FLOOD)
+        assert await reader.read() == b"BYE\r\n"
+        writer.transport.abort()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve, test)
+    assert closed_early == []
+
+
+# UP.
+
+
+def test_up_that_arrives_as_its_wait_times_out_is_passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(proxy: LoopbackProxy) -> None:
+        async def time_out(self: Attempt, sock: socket.socket) -> AttemptEnd | None:
+            await tcp.wait_readable(sock)  # UP is there
+            raise TimeoutError
+
+        monkeypatch.setattr(Attempt, "_receive_first_reply", time_out)
+        attempt_open = Attempt.open
+        results: list[AttemptEnd | None] = []
+
+        async def record(self: Attempt, *args: Any) -> AttemptEnd | None:
+            results.append(await attempt_open(self, *args))
+            return results[-1]
+
+        monkeypatch.setattr(Attempt, "open", record)
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        assert results == [None]
+        writer.write(b"END\r\n")
+        assert await reader.read() == b"BYE\r\n"
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_echo, test)
+
+
+def test_a_cancellation_that_crosses_up_leaves_the_session_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    """UP is passed on, and the controller does not know it as the decisions cancel the attempt."""
+
+    async def test(proxy: LoopbackProxy) -> None:
+        post = proxy.controller.post
+
+        def cancel_before(message: Message) -> None:
+            if isinstance(message, AttemptEstablished):
+                cancel = Cancel(message.state.request.request_id, message.attempt)
+                asyncio.get_running_loop().call_soon(proxy.controller._attempts.perform_cancel, cancel)
+                asyncio.get_running_loop().call_later(0.05, post, message)
+            else:
+                post(message)
+
+        monkeypatch.setattr(proxy.controller, "post", cancel_before)
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        await asyncio.sleep(0.1)
+        writer.write(b"END\r\n")
+        assert await reader.read() == b"BYE\r\n"
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_echo, test)
+
+
+# Faults of the program, and the end of the process.
+
+
+@pytest.mark.parametrize("method", ["lines_received", "_send_to_server"])
+def test_a_crash_in_a_session_sends_its_client_away_with_move(method: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+
+        def crash(*args: Any) -> None:
+            raise ValueError("a fault")
+
+        monkeypatch.setattr(Relay, method, crash)
+        writer.write(b"line\r\n")
+        assert await reader.read() == b"MOVE\r\n"
+        writer.close()
+        await proxy.wait_until_idle()
+        assert proxy.counters["attempts_crashed"] == 1
+
+    run_loopback(serve_echo, test)
+
+
+def test_who_still_waits_as_the_process_ends_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An idle connection, whose request may be on its way, and a session whose server is not listed yet."""
+
+    async def test(proxy: LoopbackProxy) -> None:
+        idle = await proxy.connect()
+        proxy.backends._backends.clear()
+        restored = await proxy.open_session(b",at=s")
+        while not proxy.context.restoring:
+            await asyncio.sleep(0.01)
+        shutdown._answer_waiting(core_of(proxy))
+        for reader, writer in (idle, restored):
+            assert await reader.read() == b"BUSY\r\n"
+            writer.close()
+        await proxy.wait_until_idle()
+
+    def core_of(proxy: LoopbackProxy) -> ProxyCore:
+        core = make_core()
+        object.__setattr__(core, "context", proxy.context)
+        return core
+
+    run_loopback(serve_echo, test)
--- a/tests/test_session_ends.py
+++ b/tests/test_session_ends.py
@@ -26,39 +26,39 @@
 SESSIONS = 48
 
 
-async def drain(rig: ConversationRig) -> None:
-    _, port = await rig.start_process()
-    await rig.start_sessions(SESSIONS)
+async def drain(rig: ConversationRig, _process: asyncio.subprocess.Process, port: int) -> None:
     assert await rig.call(port, "/v1/proxy/drain") == 200
 
 
-async def suspend_all_servers(rig: ConversationRig) -> None:
-    _, port = await rig.start_process()
-    await rig.start_sessions(SESSIONS)
+async def suspend_all_servers(rig: ConversationRig, _process: asyncio.subprocess.Process, port: int) -> None:
     for server in SERVER_NAMES:
         assert await rig.call(port, f"/v1/session-servers/{server}/suspend") == 200
 
 
-async def terminate(rig: ConversationRig) -> None:
-    program, _ = await rig.start_process()
-    await rig.start_sessions(SESSIONS)
-    program.send_signal(signal.SIGTERM)
+async def terminate(_rig: ConversationRig, process: asyncio.subprocess.Process, _port: int) -> None:
+    process.send_signal(signal.SIGTERM)
 
 
-async def replace_process(rig: ConversationRig) -> None:
-    old, _ = await rig.start_process()
-    await rig.start_sessions(SESSIONS)
+async def replace_process(rig: ConversationRig, process: asyncio.subprocess.Process, _port: int) -> None:
     await rig.start_process()
-    old.send_signal(signal.SIGTERM)
+    process.send_signal(signal.SIGTERM)
 
 
+EndSessions = Callable[[ConversationRig, asyncio.subprocess.Process, int], Awaitable[None]]
+
+
+@pytest.mark.parametrize("servers_stall", [False, True])
 @pytest.mark.parametrize("end_sessions", [drain, suspend_all_servers, terminate, replace_process])
 def test_sessions_that_the_proxy_ends_are_moved_between_two_lines(
-    end_sessions: Callable[[ConversationRig], Awaitable[None]], tmp_path: Path
+    end_sessions: EndSessions, servers_stall: bool, tmp_path: Path
 ) -> None:
     async def play() -> None:
         async with conversation_rig(tmp_path) as rig:
-            await end_sessions(rig)
+            process, port = await rig.start_process()
+            await rig.start_sessions(SESSIONS)
+            if servers_stall:
+                await rig.stall_servers()
+            await end_sessions(rig, process, port)
             assert await rig.wait_for_ends() == []
         ends = [event for event in rig.log if event["event"] == "session_ended" and event["was_established"]]
         assert [(end["reason"], end["answer"]) for end in ends] == [("migrated", "MOVE")] * SESSIONS
