Crossings: a cancelled read, ends that cross a client's lines, and sockets closed under a wait

Need: four mutants of the fix passed all tests, and one showed a hazard of the fix itself: with a session's server closed while its client's task waits to write to it, uvloop ends the process (SIGABRT). Sessions did not do that; nothing but the order of two calls kept it.

--- a/stoatgw/clients/request_reader.py
+++ b/stoatgw/clients/request_reader.py
@@ -67,12 +67,12 @@
         """Reads the request; None if the client leaves or sends nothing. Raises OSError."""
         loop = asyncio.get_running_loop()
         timer = loop.call_later(REQUEST_TIMEOUT_S, self.expire)
-        loop.add_reader(self._sock.fileno(), self._wake_up.set)
+        loop.add_reader(self._sock, self._wake_up.set)
         try:
             return await self._read_until_complete()
         finally:
             timer.cancel()
-            loop.remove_reader(self._sock.fileno())
+            loop.remove_reader(self._sock)
 
     async def _read_until_complete(self) -> SessionRequest | MalformedRequest | None:
         while True:
--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -59,28 +59,27 @@
 async def wait_readable(sock: socket.socket) -> None:
     """Wait until there is something to read or to accept; nothing is consumed.
 
-    The loop's own sock_accept would lose what it had accepted if it were cancelled in the same iteration. The socket
-    must stay open until the wait has ended: its descriptor would be another socket's by then.
+    The loop's own sock_accept would lose what it had accepted if it were cancelled in the same iteration. The loop is
+    given the socket, not its descriptor: uvloop then keeps it open until the wait has ended, as closing a descriptor
+    that the loop polls ends the process.
     """
     loop = asyncio.get_running_loop()
     ready = loop.create_future()
-    descriptor = sock.fileno()
-    loop.add_reader(descriptor, _set_ready, ready)
+    loop.add_reader(sock, _set_ready, ready)
     try:
         await ready
     finally:
-        loop.remove_reader(descriptor)
+        loop.remove_reader(sock)
 
 
 async def _wait_writable(sock: socket.socket) -> None:
     loop = asyncio.get_running_loop()
     ready = loop.create_future()
-    descriptor = sock.fileno()
-    loop.add_writer(descriptor, _set_ready, ready)
+    loop.add_writer(sock, _set_ready, ready)
     try:
         await ready
     finally:
-        loop.remove_writer(descriptor)
+        loop.remove_writer(sock)
 
 
 class _TransientErrors:
--- a/tests/test_session_crossings.py
+++ b/tests/test_session_crossings.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from stoatgw.backends.attempt import Attempt
-from stoatgw.clients import migration
+from stoatgw.clients import migration, request_reader
 from stoatgw.clients.relay import Relay
 from stoatgw.clients.session_monitor import UNANSWERED_TIMEOUT_US, SessionMonitor
 from stoatgw.controller.messages import AttemptEnd, AttemptEnded, AttemptEstablished, BeginDrain, Message
@@ -26,7 +26,7 @@
 from stoatgw.sockets import tcp
 from tests.test_line_protocol import cut
 from tests.test_service import make_core
-from tests.test_sessions import LoopbackProxy, Serve, Streams, run_loopback, serve_echo
+from tests.test_sessions import OPEN, LoopbackProxy, Serve, Streams, run_loopback, serve_echo
 
 FIXED = settings(derandomize=True, deadline=None, max_examples=150)
 FLOOD = (b"x" * 998 + b"\r\n") * 20_000  # more than the sockets' buffers hold
@@ -54,19 +54,24 @@
 
 
 def test_a_read_that_is_cancelled_as_data_arrives_has_read_nothing() -> None:
+    """The cancellation comes in the iteration in which the data does, behind it, before the task has run again."""
+
     async def test() -> None:
+        loop = asyncio.get_running_loop()
         ours, theirs = socket.socketpair()
-        ours.setblocking(False)
-        with ours, theirs:
+        trigger, pull = socket.socketpair()
+        with ours, theirs, trigger, pull:
+            ours.setblocking(False)
+            trigger.setblocking(False)
             reading = asyncio.create_task(tcp.receive(ours, 100))
-            await asyncio.sleep(0)
+            loop.add_reader(trigger, reading.cancel)
+            await asyncio.sleep(0.01)
             theirs.send(b"line\r\n")
-            # In the iteration in which the socket becomes readable, before the task has run again.
-            asyncio.get_running_loop().call_later(0.01, reading.cancel)
-            while not reading.done():
-                await asyncio.sleep(0)
-            received = b"" if reading.cancelled() else reading.result()
-            assert received + (ours.recv(100) if not received else b"") == b"line\r\n"
+            pull.send(b"now")
+            await asyncio.wait([reading])
+            loop.remove_reader(trigger)
+            assert reading.cancelled()
+            assert ours.recv(100) == b"line\r\n"
 
     uvloop.run(test())
 
@@ -357,24 +362,74 @@
     assert [end.status for end in ends] == [AttemptStatus.REVOKED]
 
 
-def test_the_last_lines_of_a_server_arrive_though_it_can_no_longer_be_sent_to() -> None:
-    """It ends, a line of the client crosses that, and the client takes longer to read than the kernel tells why."""
+@pytest.mark.parametrize("last_line", [b"BYE\r\n", b"no word of an end\r\n"])
+def test_the_last_lines_of_a_server_arrive_though_it_can_no_longer_be_sent_to(
+    last_line: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It has ended, lines of the client cross that, and the client takes longer to read than the kernel tells why.
+
+    All that it sent is in the sockets' buffers: more than the client's hold, less than the proxy's.
+    """
+    lines = FLOOD[:60_000]
+    has_ended = asyncio.Event()
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        writer.write(b"UP 77\r\n" + FLOOD + b"BYE\r\n")
+        writer.write(b"UP 77\r\n" + lines + last_line)
         await writer.drain()
         writer.close()
+        await writer.wait_closed()
+        has_ended.set()
 
     async def test(proxy: LoopbackProxy) -> None:
-        reader, writer = await open_blocked_session(proxy)
-        for _ in range(3):
-            writer.write(b"anyone there?\r\n")
+        accept = tcp.accept_nowait
+
+        def accept_small(listener: socket.socket) -> socket.socket:
+            sock = accept(listener)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            return sock
+
+        monkeypatch.setattr(tcp, "accept_nowait", accept_small)
+        client = socket.socket()
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, ("127.0.0.1", proxy.port))
+        await loop.sock_sendall(client, OPEN % 1)
+        await has_ended.wait()
+        for _ in range(4):
+            await loop.sock_sendall(client, b"anyone there?\r\n")
             await asyncio.sleep(0.3)
-        reader._transport.resume_reading()  # type: ignore[attr-defined]
-        assert await reader.read() == b"UP 77\r\n" + FLOOD + b"BYE\r\n"
+        received = b""
+        while data := await loop.sock_recv(client, 100_000):  # a reset would be an error here
+            received += data
+        assert received == b"UP 77\r\n" + lines + last_line
+        client.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve, test)
+
+
+def test_a_server_that_announced_its_end_has_ended_in_an_orderly_way_though_it_closed_over_unread_lines() -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP 77\r\n")
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await has_sent.wait()
+        writer.write(b"BYE\r\n")
+        writer.close()
+
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        writer.write(b"unread\r\n")
+        while not proxy.counters["lines_from_clients"]:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        has_sent.set()
+        assert await reader.read() == b"BYE\r\n"  # and no reset
         writer.close()
         await proxy.wait_until_idle()
 
+    has_sent = asyncio.Event()
     run_loopback(serve, test)
 
 
@@ -515,6 +570,7 @@
 
 def test_who_still_waits_as_the_process_ends_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
     """An idle connection, whose request may be on its way, and a session whose server is not listed yet."""
+    monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 60.0)
 
     async def test(proxy: LoopbackProxy) -> None:
         idle = await proxy.connect()
