--- a/stoatgw/backends/attempt.py
+++ b/stoatgw/backends/attempt.py
@@ -34,11 +34,13 @@
 
 
 class RelayListener(Protocol):
-    """The client's side of an established session."""
+    """The client's side of an established session.
 
-    def lines_received(self, lines: list[bytes]) -> None:
-        """Observe complete lines of the backend; called before `forward` gets the bytes that complete them."""
-        ...
+    Attributes:
+        last_keyword: The first word of the last complete line that the backend has sent.
+    """
+
+    last_keyword: Keyword
 
     def forward(self, data: bytes) -> Awaitable[None]:
         """Send the backend's bytes to the client, with backpressure."""
@@ -54,13 +56,13 @@
         "_clock",
         "_connect_timeout_us",
         "_drain_grace_us",
-        "_last_keyword",
-        "_lines_after_up",
         "_on_sent",
+        "_reader",
         "_sock",
         "_splitter",
         "_to_load_report_row",
         "established_data",
+        "has_ended",
         "stage",
         "was_reset",
     )
@@ -91,13 +93,14 @@
         self._to_load_report_row = to_load_report_row
         self._on_sent = on_sent
         self._sock: socket.socket | None = None
-        self._splitter = LineSplitter()
-        self._last_keyword = Keyword.OTHER
+        self._reader: tcp.SocketReader | None = None  # once the request is sent
+        self._splitter = LineSplitter()  # until UP
         self._break_reason = ""
-        self._lines_after_up: list[bytes] = []  # that arrived in one piece with UP
         self.stage = AttemptStage.CONNECTING
         self.established_data = b""
         """The UP line and what came with it, byte for byte."""
+        self.has_ended = False
+        """All that the backend sent on the established session is read, and its end."""
         self.was_reset = False
         """The backend ended the established session with a reset."""
 
@@ -125,7 +128,8 @@
                     return self._end(AttemptStatus.DIAL_FAILED, obstacle)
                 timeout.reschedule(asyncio.get_running_loop().time() + (deadline_us - now_us) / 1e6)
                 await self._send_request(self._sock, encode_request((deadline_us - now_us) // 1000))
-                return await self._receive_first_reply(self._sock)
+                self._reader = tcp.SocketReader(self._sock)
+                return await self._receive_first_reply(self._reader)
         except TimeoutError:
             if self._has_unread_up():
                 return None
@@ -135,24 +139,19 @@
 
     async def relay(self, listener: RelayListener) -> AttemptEnd:
         """Forward all that an established session brings until the backend ends the connection."""
-        self._notify(listener, self._lines_after_up)
-        # No buffer is kept while nothing arrives: most sessions are idle most of the time.
-        while data := await self._receive():
-            self._notify(listener, self._splitter.receive_data(data))
-            await listener.forward(data)
-        if self._last_keyword in STATUS_BY_LAST_LINE:
-            self.was_reset = False  # it announced its end: a reset behind that is no sign of a fault
-            return self._end(STATUS_BY_LAST_LINE[self._last_keyword], "ended by the backend")
-        return self._end(AttemptStatus.DROPPED, self._break_reason or "ended by the backend")
-
-    async def _receive(self) -> bytes:
-        """Receive from the established session; b"" at its end, also by a reset."""
-        assert self._sock is not None, "relay comes after open"
+        assert self._reader is not None, "relay comes after open"
         try:
-            return await tcp.receive(self._sock, READ_SIZE_BYTES)
+            # No buffer is kept while nothing arrives: most sessions are idle most of the time.
+            while data := await self._reader.receive(READ_SIZE_BYTES):
+                await listener.forward(data)
         except OSError as error:
             self.record_break(error)
-            return b""
+        self.has_ended = True
+        status = STATUS_BY_LAST_LINE.get(listener.last_keyword)
+        if status is not None:
+            self.was_reset = False  # it announced its end: a reset behind that is no sign of a fault
+            return self._end(status, "ended by the backend")
+        return self._end(AttemptStatus.DROPPED, self._break_reason or "ended by the backend")
 
     def record_break(self, error: OSError) -> None:
         """Note that a call on the established session failed: which of its tasks the kernel tells is chance.
@@ -163,13 +162,15 @@
             self.was_reset = True
         self._break_reason = self._break_reason or str(error)
 
-    async def send(self, data: bytes) -> None:
-        """Send the client's bytes to the backend, with backpressure. Raises OSError."""
-        if self._sock is not None:
-            await tcp.send_all(self._sock, data)
+    def send(self, data: bytes) -> Awaitable[None]:
+        """Send the client's bytes to the backend, with backpressure. Raises OSError when awaited."""
+        assert self._sock is not None, "only an established session is sent to"
+        return tcp.send_all(self._sock, data)
 
     def close(self, *, reset: bool = False) -> None:
         """Close at once, with FIN or, if asked, with RST."""
+        if self._reader is not None:
+            self._reader.stop()
         if self._sock is not None:
             tcp.close(self._sock, reset=reset)
 
@@ -181,6 +182,8 @@
 
     async def close_gracefully(self, timeout_s: float) -> None:
         """Close once the backend has shut down sending, or after the timeout."""
+        if self._reader is not None:
+            self._reader.stop()
         if self._sock is not None:
             await tcp.close_gracefully(self._sock, b"", timeout_s, MAX_DISCARDED_BYTES)
 
@@ -200,10 +203,10 @@
         self.stage = AttemptStage.SENT
         self._on_sent()
 
-    async def _receive_first_reply(self, sock: socket.socket) -> AttemptEnd | None:
+    async def _receive_first_reply(self, reader: tcp.SocketReader) -> AttemptEnd | None:
         lines: list[bytes] = []
         while not lines:
-            data = await tcp.receive(sock, READ_SIZE_BYTES)
+            data = await reader.receive(READ_SIZE_BYTES)
             if not data:
                 return self._end(AttemptStatus.DROPPED, "ended without a word")
             lines = self._receive_before_up(data)
@@ -224,7 +227,6 @@
         if parse_reply(lines[0]).keyword is not Keyword.UP:
             return False
         self.stage = AttemptStage.ESTABLISHED
-        self._lines_after_up = lines[1:]
         return True
 
     def _has_unread_up(self) -> bool:
@@ -241,11 +243,6 @@
         lines = self._receive_before_up(data)
         return bool(lines) and self._accept_up(lines)
 
-    def _notify(self, listener: RelayListener, lines: list[bytes]) -> None:
-        if lines:
-            self._last_keyword = parse_reply(lines[-1]).keyword
-            listener.lines_received(lines)
-
     def _failure_status(self, status_if_sent: AttemptStatus) -> AttemptStatus:
         """Return the status of a failed attempt: a request that was not sent to its last byte never ran."""
         return status_if_sent if self.stage is AttemptStage.SENT else AttemptStatus.DIAL_FAILED
--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Awaitable
 
 from stoatgw.backends.attempt import READ_SIZE_BYTES, Attempt
 from stoatgw.backends.latency import MessageLatencyTracker
@@ -13,7 +14,7 @@
 from stoatgw.clients.session_state import EndReason, SessionEnd
 from stoatgw.controller.messages import AttemptEnd, MigrationReason, RequestState, SessionMetricObserved
 from stoatgw.line_protocol.grammar import MOVE, Keyword, encode_error, parse_number, parse_reply
-from stoatgw.line_protocol.splitter import LineAligner, LineSplitter
+from stoatgw.line_protocol.splitter import LineAligner, split_lines
 from stoatgw.sockets import tcp
 from stoatgw.telemetry.metrics import RequestOutcome
 
@@ -38,7 +39,6 @@
         "_attempt_ready",
         "_class_name",
         "_client_lines",
-        "_client_splitter",
         "_closer",
         "_context",
         "_latency",
@@ -47,6 +47,7 @@
         "_server_lines",
         "_sock",
         "_state",
+        "last_keyword",
     )
 
     def __init__(
@@ -65,11 +66,11 @@
         self._class_name = class_name
         self._attempt: Attempt | None = None  # once UP is passed on
         self._attempt_ready: asyncio.Future[None] | None = None  # while the client's task waits for that
-        self._client_splitter = LineSplitter()
         self._client_lines = LineAligner()
         self._server_lines = LineAligner()
         self._migration = SessionMigration(context.log, closer, request_state, self._server_lines)
         self._latency = MessageLatencyTracker()
+        self.last_keyword = Keyword.OTHER  # of the server's last complete line
 
     def record_outcome(self, outcome: RequestOutcome) -> None:
         """Counts the request's one answer."""
@@ -88,7 +89,9 @@
         self._state.establish()
         self._context.log.event("session_established", id=request_id, backend=server)
         self.record_outcome(RequestOutcome.SUCCESS)
-        await self.forward(attempt.established_data)
+        lines = self._server_lines.receive_data(attempt.established_data)
+        self._observe_server_lines(split_lines(lines)[1:])
+        await self._send_to_client(lines)
         self._attempt = attempt
         if self._attempt_ready is not None and not self._attempt_ready.done():
             self._attempt_ready.set_result(None)
@@ -106,12 +109,19 @@
         self._attempt = None
         self._context.established_sessions.pop(self._request_state.request.request_id, None)
 
-    def lines_received(self, lines: list[bytes]) -> None:
-        """Observes complete lines of the server, which `forward` passes on."""
+    def forward(self, data: bytes) -> Awaitable[None]:
+        """Sends the server's lines to the client, once they are complete."""
+        lines = self._server_lines.receive_data(data)
+        if lines:
+            self._observe_server_lines(split_lines(lines))
+        return self._send_to_client(lines)
+
+    def _observe_server_lines(self, lines: list[bytes]) -> None:
         now_us = self._context.clock.now_us()
         self._context.counters.add("lines_from_servers", len(lines))
         for line in lines:
             reply = parse_reply(line)
+            self.last_keyword = reply.keyword
             if reply.keyword is Keyword.LOAD:
                 self._report_load(reply.fields)
             elif reply.keyword not in UNPROMPTED_KEYWORDS:
@@ -123,10 +133,6 @@
             kind = self._context.load_line_kind
             self._context.controller.post(SessionMetricObserved(self._request_state, kind, value))
 
-    async def forward(self, data: bytes) -> None:
-        """Sends the server's lines to the client, once they are complete."""
-        await self._send_to_client(self._server_lines.receive_data(data))
-
     async def _send_to_client(self, data: bytes) -> None:
         """Sends bytes to the client, unless the session has ended otherwise than by the client.
 
@@ -181,8 +187,9 @@
 
         Goes on reading after an end that leaves the client's last lines on their way, until it is cancelled.
         """
+        reader = tcp.SocketReader(self._sock)
         try:
-            while data := await tcp.receive(self._sock, READ_SIZE_BYTES):
+            while data := await reader.receive(READ_SIZE_BYTES):
                 if not self._state.is_established:
                     self._reject_early_data()
                     return
@@ -191,6 +198,8 @@
             was_reset = not isinstance(error, BrokenPipeError)
             self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=was_reset, why=str(error)))
             return
+        finally:
+            reader.stop()
         if not self._state.has_ended:  # the client ended in the middle of a line, and was not sent away
             await self._send_to_server(self._client_lines.take_held())
         self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, why="ended by the client"))
@@ -205,8 +214,8 @@
         """Sends the client's bytes on; meanwhile the client is not read, however much it sends."""
         if not data:
             return
-        attempt = await self._wait_for_attempt()
-        lines = self._client_splitter.receive_data(data)
+        attempt = self._attempt or await self._wait_for_attempt()
+        lines = split_lines(data)
         self._context.counters.add("lines_from_clients", len(lines))
         self._latency.record_sent(lines, self._context.clock.now_us())
         try:
--- a/stoatgw/clients/session_end.py
+++ b/stoatgw/clients/session_end.py
@@ -90,14 +90,17 @@
             last_line = b"" if self._is_last_line_sent else end.last_line
             closing.append(tcp.close_gracefully(self._sock, last_line, linger_s))
         attempt = self._established_attempt
-        if attempt is not None and end.reason in ORDERLY_REASONS and not end.was_reset:
+        if attempt is not None and end.reason in ORDERLY_REASONS and not (end.was_reset or attempt.has_ended):
             # Closed over unread bytes, it would be reset, and the client's last lines might be lost with that.
             # After a client's end the server has had `LINGER_S` already.
             is_late = end.reason is EndReason.CLIENT_DISCONNECTED
             closing.append(attempt.close_gracefully(ANSWERED_LINGER_S if is_late else LINGER_S))
         elif attempt is not None:
             attempt.close(reset=end.was_reset)
-        await asyncio.gather(*closing)
+        if len(closing) == 1:
+            await closing[0]
+        else:
+            await asyncio.gather(*closing)
 
     def abort_attempt(self) -> None:
         """Closes an established attempt's connection at once; does nothing if it is closed already."""
--- a/stoatgw/line_protocol/splitter.py
+++ b/stoatgw/line_protocol/splitter.py
@@ -47,6 +47,13 @@
         return not self.is_overlong
 
 
+def split_lines(data: bytes) -> list[bytes]:
+    """Return the lines of bytes that end with a complete one, without their CRLF; an incomplete one is left out."""
+    lines = data.split(b"\n")
+    lines.pop()
+    return [line[:-1] if line.endswith(b"\r") else line for line in lines]
+
+
 class LineAligner:
     """Cuts a stream of bytes, unchanged, so that what it has given always ends with a complete line.
 
--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -96,22 +96,54 @@
         await asyncio.sleep(TRANSIENT_RETRY_INTERVAL_S)
 
 
-async def receive(sock: socket.socket, max_bytes: int) -> bytes:
-    """Wait for bytes and return them; b"" at the end of the stream. Raises OSError.
+class SocketReader:
+    """Reads a connection, one task at a time, and watches it between two reads.
 
     The loop's own sock_recv reads in one iteration and returns in the next: cancelled between the two, it loses what
-    it has read. A caller that is cancelled in here has read nothing.
+    it has read. A task that is cancelled in here has read nothing. And sock_recv asks the kernel anew to watch the
+    socket for each read: this asks once, and again only after the task was too busy to read.
     """
-    failures: _TransientErrors | None = None
-    while True:
-        await wait_readable(sock)
-        try:
-            return sock.recv(max_bytes)
-        except (BlockingIOError, InterruptedError):
-            continue
-        except OSError as error:
-            failures = failures or _TransientErrors()
-            await failures.wait(error)
+
+    __slots__ = ("_is_watching", "_ready", "_sock")
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Prepare to read; whoever reads calls `stop` before the socket is read by others or closed."""
+        self._sock = sock
+        self._is_watching = False
+        self._ready: asyncio.Future[None] | None = None  # while a task waits
+
+    async def receive(self, max_bytes: int) -> bytes:
+        """Wait for bytes and return them; b"" at the end of the stream. Raises OSError."""
+        loop = asyncio.get_running_loop()
+        failures: _TransientErrors | None = None
+        while True:
+            self._ready = loop.create_future()
+            if not self._is_watching:
+                loop.add_reader(self._sock, self._on_readable)
+                self._is_watching = True
+            try:
+                await self._ready
+            finally:
+                self._ready = None
+            try:
+                return self._sock.recv(max_bytes)
+            except (BlockingIOError, InterruptedError):
+                continue
+            except OSError as error:
+                failures = failures or _TransientErrors()
+                await failures.wait(error)
+
+    def _on_readable(self) -> None:
+        if self._ready is None:
+            self.stop()  # nobody reads now: without this the loop would spin
+        elif not self._ready.done():
+            self._ready.set_result(None)
+
+    def stop(self) -> None:
+        """Watch the socket no more, until the next read."""
+        if self._is_watching:
+            self._is_watching = False
+            asyncio.get_running_loop().remove_reader(self._sock)
 
 
 async def send_all(sock: socket.socket, data: bytes) -> None:
@@ -120,19 +152,20 @@
     The loop's own sock_sendall may write in one iteration and return in the next: a timeout between the two
     would make a line that may run look like one that never ran.
     """
-    unsent = memoryview(data)
+    unsent: bytes | memoryview = data
     failures: _TransientErrors | None = None
     while True:
         try:
-            unsent = unsent[sock.send(unsent) :]
+            count = sock.send(unsent)
         except (BlockingIOError, InterruptedError):
-            pass
+            count = 0
         except OSError as error:
             failures = failures or _TransientErrors()
             await failures.wait(error)
             continue
-        if not unsent:
+        if count == len(unsent):
             return
+        unsent = memoryview(unsent)[count:]
         await _wait_writable(sock)
 
 
--- a/tests/test_session_crossings.py
+++ b/tests/test_session_crossings.py
@@ -63,7 +63,7 @@
         with ours, theirs, trigger, pull:
             ours.setblocking(False)
             trigger.setblocking(False)
-            reading = asyncio.create_task(tcp.receive(ours, 100))
+            reading = asyncio.create_task(tcp.SocketReader(ours).receive(100))
             loop.add_reader(trigger, reading.cancel)
             await asyncio.sleep(0.01)
             theirs.send(b"line\r\n")
@@ -103,7 +103,7 @@
             left.setblocking(False)
             right.setblocking(False)
             await tcp.send_all(left, b"line\r\n")
-            assert await tcp.receive(right, 100) == b"line\r\n"
+            assert await tcp.SocketReader(right).receive(100) == b"line\r\n"
             left.failures_left = tcp.MAX_TRANSIENT_RETRIES + 1
             with pytest.raises(OSError, match="buffer space"):
                 await tcp.send_all(left, b"line\r\n")
@@ -257,13 +257,13 @@
 def test_a_client_may_send_any_amount_while_up_is_on_its_way(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(proxy: LoopbackProxy) -> None:
         may_pass_up = asyncio.Event()
-        forward = Relay.forward
+        send_to_client = Relay._send_to_client
 
-        async def forward_late(self: Relay, data: bytes) -> None:
+        async def send_late(self: Relay, data: bytes) -> None:
             await may_pass_up.wait()
-            await forward(self, data)
+            await send_to_client(self, data)
 
-        monkeypatch.setattr(Relay, "forward", forward_late)
+        monkeypatch.setattr(Relay, "_send_to_client", send_late)
         reader, writer = await proxy.open_session()
         while not proxy.context.established_sessions:
             await asyncio.sleep(0.01)
@@ -496,8 +496,9 @@
 
 def test_up_that_arrives_as_its_wait_times_out_is_passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(proxy: LoopbackProxy) -> None:
-        async def time_out(self: Attempt, sock: socket.socket) -> AttemptEnd | None:
-            await tcp.wait_readable(sock)  # UP is there
+        async def time_out(self: Attempt, _reader: tcp.SocketReader) -> AttemptEnd | None:
+            assert self._sock is not None
+            await tcp.wait_readable(self._sock)  # UP is there
             raise TimeoutError
 
         monkeypatch.setattr(Attempt, "_receive_first_reply", time_out)
@@ -549,7 +550,7 @@
 # Faults of the program, and the end of the process.
 
 
-@pytest.mark.parametrize("method", ["lines_received", "_send_to_server"])
+@pytest.mark.parametrize("method", ["_observe_server_lines", "_send_to_server"])
 def test_a_crash_in_a_session_sends_its_client_away_with_move(method: str, monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(proxy: LoopbackProxy) -> None:
         reader, writer = await proxy.open_session()
