MOVE goes behind every whole line that has come, and nothing behind it; a long line hides no dead server

A whole line that the proxy had, or that had come as a migration was decided on, was dropped before MOVE; a server that stopped within a line over the limit was never taken for unresponsive, as its client counted as the one that waits. Change: until MOVE is sent the relay passes whole lines on; MOVE waits for what is being sent, however often; whether the client has still to take something is known apart from whether a line is incomplete.

--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -10,7 +10,7 @@
 from stoatgw.backends.latency import MessageLatencyTracker
 from stoatgw.clients.context import EstablishedSession, ProxyContext
 from stoatgw.clients.migration import SessionMigration
-from stoatgw.clients.session_end import SessionCloser
+from stoatgw.clients.session_end import LINGER_S, SessionCloser
 from stoatgw.clients.session_state import EndReason, SessionEnd
 from stoatgw.controller.messages import AttemptEnd, MigrationReason, RequestState, SessionMetricObserved
 from stoatgw.line_protocol.grammar import MOVE, Keyword, encode_error, parse_number, parse_reply
@@ -29,9 +29,9 @@
     The client is read from the start, in a task of its own, to notice when it leaves. What it sends reaches the server
     once UP is passed on. A slow reader on one side slows down the other.
 
-    Both sides are sent whole lines only, and nothing once the session has ended, but for the lines that were on their
-    way when its client left. So it may end at any moment, for whatever reason, and nobody is left with half a line:
-    half a line that has come is held until its rest has, or until its sender ends the session.
+    Both sides are sent whole lines only, and the client nothing behind its last line. So the session may end at any
+    moment, for whatever reason, and nobody is left with half a line: half a line that has come is held until its rest
+    has, or until its sender ends the session.
     """
 
     __slots__ = (
@@ -41,6 +41,7 @@
         "_client_lines",
         "_closer",
         "_context",
+        "_has_sent",
         "_latency",
         "_migration",
         "_request_state",
@@ -66,6 +67,7 @@
         self._class_name = class_name
         self._attempt: Attempt | None = None  # once UP is passed on
         self._attempt_ready: asyncio.Future[None] | None = None  # while the client's task waits for that
+        self._has_sent: asyncio.Future[None] | None = None  # while the last line waits for the lines before it
         self._client_lines = LineAligner()
         self._server_lines = LineAligner()
         self._migration = SessionMigration(context.log, closer, request_state, self._server_lines)
@@ -134,29 +136,45 @@
             self._context.controller.post(SessionMetricObserved(self._request_state, kind, value))
 
     async def _send_to_client(self, data: bytes) -> None:
-        """Sends bytes to the client, unless the session has ended otherwise than by the client.
+        """Sends bytes to the client, unless its last line was sent.
 
-        Between the end and the cancellation of this task lie some turns of the event loop: what the server sends in
-        these must not reach the client, behind which only a last line such as MOVE may follow.
+        Between the end of a session and the cancellation of this task lie some turns of the event loop, and MOVE: what
+        the server sends before that is passed on, and nothing behind it.
         """
         state = self._state
         if not data or not state.may_send_to_client():
             return
-        state.is_line_complete = False
+        state.is_sending = True
         try:
             await tcp.send_all(self._sock, data)
         except OSError as error:
             await self._confirm_client_break(error)
             return
-        state.is_line_complete = self._server_lines.is_aligned
+        state.is_sending = False
+        state.is_aligned = self._server_lines.is_aligned
+        if self._has_sent is not None and not self._has_sent.done():
+            self._has_sent.set_result(None)
         self._migration.line_sent()
 
+    async def send_last_line(self, last_line: bytes) -> None:
+        """Sends the client the line that ends its session, behind those that are being sent. Never raises OSError."""
+        state = self._state
+        try:
+            async with asyncio.timeout(LINGER_S):
+                while state.is_sending:  # and again, if the relay had more before this task runs
+                    self._has_sent = asyncio.get_running_loop().create_future()
+                    await self._has_sent
+                state.is_closed_to_client = True
+                await self._closer.send_last_line(last_line)
+        except (OSError, TimeoutError):
+            state.is_closed_to_client = True
+
     async def _confirm_client_break(self, error: OSError) -> None:
         """The client cannot be sent to: its own task reads what it has sent before, and then its end.
 
         Not the server's fault, and no end of its session by itself: that would lose the client's last lines.
         """
-        self._state.is_client_gone = True
+        self._state.is_closed_to_client = True
         if self._state.has_ended:
             return
         await asyncio.sleep(BREAK_CONFIRMATION_S)
@@ -238,6 +256,6 @@
         """
         while True:
             await asyncio.sleep(BREAK_CONFIRMATION_S)
-            if self._state.is_line_complete:
+            if not self._state.is_sending:
                 self._closer.finish(SessionEnd(EndReason.SERVER_ENDED, was_reset=True, why=str(error)))
                 return
--- a/stoatgw/clients/request_handler.py
+++ b/stoatgw/clients/request_handler.py
@@ -104,7 +104,7 @@
             self._relay.half_close_server()
             await self._attempts.wait(LINGER_S)
         elif end.reason is EndReason.MIGRATED and end.last_line:
-            await self._closer.send_last_line(end)
+            await self._relay.send_last_line(end.last_line)
             await asyncio.wait([reader], timeout=LAST_LINES_TIMEOUT_S)
 
     def _start(self) -> None:
--- a/stoatgw/clients/session_end.py
+++ b/stoatgw/clients/session_end.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Awaitable
 
@@ -72,13 +71,11 @@
             end = self.state.end
             attempt.close(reset=end is not None and end.was_reset)
 
-    async def send_last_line(self, end: SessionEnd) -> None:
-        """Sends the last line and shuts down sending; the client is still read. Never raises OSError."""
+    async def send_last_line(self, last_line: bytes) -> None:
+        """Sends a last line and shuts down sending; the client is still read. Raises OSError."""
         self._is_last_line_sent = True
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(LINGER_S):
-                await tcp.send_all(self._sock, end.last_line)
-            self._sock.shutdown(socket.SHUT_WR)
+        await tcp.send_all(self._sock, last_line)
+        self._sock.shutdown(socket.SHUT_WR)
 
     async def close_both(self, end: SessionEnd) -> None:
         """Closes the client's connection, and that of its server, once no task of the session uses them."""
--- a/stoatgw/clients/session_monitor.py
+++ b/stoatgw/clients/session_monitor.py
@@ -42,7 +42,7 @@
         """Abandons the servers of sessions with a line that is unanswered for too long; may report latencies."""
         now_us = self._context.clock.now_us()
         for session in list(self._context.established_sessions.values()):
-            if not session.session_state.is_line_complete:
+            if session.session_state.is_sending:
                 # The client takes nothing, so its server is not read: what it has answered by now is not known.
                 session.latency.pending.clear()
             elif session.latency.oldest_pending_us(now_us) > UNANSWERED_TIMEOUT_US:
--- a/stoatgw/clients/session_state.py
+++ b/stoatgw/clients/session_state.py
@@ -28,6 +28,7 @@
 
 
 CLIENT_FAULT_REASONS = (EndReason.CLIENT_DISCONNECTED, EndReason.PROTOCOL_VIOLATED)
+LINGERING_REASONS = (EndReason.CLIENT_DISCONNECTED, EndReason.MIGRATED)  # lines may be on their way to the client
 ANSWER_REASONS = (EndReason.ANSWERED, EndReason.PROTOCOL_VIOLATED)
 
 
@@ -56,32 +57,35 @@
 class SessionState:
     """What has happened to one client session so far, and what may happen next.
 
-    `is_line_complete` and `is_migrating` are plain attributes, as the relay accesses them for each piece of data.
+    `is_sending` and `is_aligned` are plain attributes, as the relay sets them for each piece of data.
 
     Attributes:
         end: How the session ended; None while it has not.
         is_established: UP is on its way to the client, or has arrived there: this is the request's one answer.
-        is_line_complete: What the client was sent ends with a complete line.
+        is_sending: The client has still to take a part of what it is sent now.
+        is_aligned: What it is sent ends with a complete line, and not in the middle of one over the limit.
         is_migrating: The session is to end as soon as `is_line_complete`.
-        is_client_gone: Sending to the client failed: nothing more is sent to it.
+        is_closed_to_client: Nothing more of the server's is sent: the last line is, or sending has failed.
     """
 
     __slots__ = (
         "_interrupted_status",
         "_is_outcome_claimed",
         "end",
-        "is_client_gone",
+        "is_aligned",
+        "is_closed_to_client",
         "is_established",
-        "is_line_complete",
         "is_migrating",
+        "is_sending",
     )
 
     def __init__(self) -> None:
         self.end: SessionEnd | None = None
         self.is_established = False
-        self.is_line_complete = True
+        self.is_sending = False
+        self.is_aligned = True
         self.is_migrating = False
-        self.is_client_gone = False
+        self.is_closed_to_client = False
         self._interrupted_status = AttemptStatus.REVOKED
         self._is_outcome_claimed = False
 
@@ -147,15 +151,20 @@
 
     # Ends.
 
+    @property
+    def is_line_complete(self) -> bool:
+        """Whether a last line such as MOVE may be sent to the client now."""
+        return self.is_aligned and not self.is_sending
+
     def may_send_to_client(self) -> bool:
         """Whether what comes from the server now may still be sent to the client.
 
-        Guards against anything between the line that ended the session, such as MOVE, and the line before it. A client
-        that has ended its side may still read: it gets the replies to its last lines.
+        Until MOVE is sent a client gets what its server had to say before, and one that has ended its side, which may
+        still read, the replies to its last lines. Guards against anything behind a last line.
         """
-        if self.is_client_gone:
+        if self.is_closed_to_client:
             return False
-        return self.end is None or (self.end.reason is EndReason.CLIENT_DISCONNECTED and not self.end.was_reset)
+        return self.end is None or (self.end.reason in LINGERING_REASONS and not self.end.was_reset)
 
     def must_report_disconnect(self) -> bool:
         """Whether the controller has yet to learn that nobody waits for the request, or uses the session, any more.
