--- a/stoatgw/clients/context.py
+++ b/stoatgw/clients/context.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from stoatgw.backends.backend import BackendRegistry
 from stoatgw.backends.latency import MessageLatencyTracker
@@ -23,6 +24,18 @@
 from stoatgw.telemetry.metrics import RequestMetrics
 
 
+class MigratingRelay(Protocol):
+    """Sends the client of an established session away, for those who have no business with the controller."""
+
+    def abandon_server(self) -> None:
+        """Migrates the session, as its server is taken to be unresponsive."""
+        ...
+
+    def migrate_now(self) -> None:
+        """Migrates the session without waiting for a line that its server has begun, as the process ends."""
+        ...
+
+
 @dataclass(slots=True, eq=False)
 class EstablishedSession:
     """An established session, as the session monitor sees it.
@@ -32,14 +45,14 @@
         server: The server that it is connected to.
         latency: The times of its messages.
         session_state: Whether its client takes what it is sent, among others.
-        abandon_server: Migrates the session, as its server is taken to be unresponsive.
+        relay: Migrates it.
     """
 
     state: RequestState
     server: str
     latency: MessageLatencyTracker
     session_state: SessionState
-    abandon_server: Callable[[], None]
+    relay: MigratingRelay
 
 
 @dataclass(slots=True, eq=False)
--- a/stoatgw/clients/migration.py
+++ b/stoatgw/clients/migration.py
@@ -12,7 +12,7 @@
 from stoatgw.telemetry.log import EventLog
 
 # For how long MOVE waits for the rest of a line that the server has begun. It is sent all the same, without that line.
-LINE_END_TIMEOUT_S = 0.2
+LINE_END_TIMEOUT_S = 0.5
 # For how long MOVE waits for a client that takes nothing of what it was sent before: it could not take MOVE either.
 CLIENT_TIMEOUT_S = 1.5
 
@@ -48,18 +48,18 @@
         )
         loop = asyncio.get_running_loop()
         if is_line_open:
-            loop.call_later(LINE_END_TIMEOUT_S, self._finish)
+            loop.call_later(LINE_END_TIMEOUT_S, self.finish)
         else:
-            self._finish()
+            self.finish()
         if not state.has_ended:
             loop.call_later(CLIENT_TIMEOUT_S, self._give_up)
 
     def line_sent(self) -> None:
         """The client has been sent a complete line: ends the session if it is to migrate."""
         if self._closer.state.is_migrating:
-            self._finish()
+            self.finish()
 
-    def _finish(self) -> None:
+    def finish(self) -> None:
         """Ends the session with MOVE, unless the client has still to take what precedes it."""
         if self._closer.state.is_line_complete:
             self._closer.finish(SessionEnd(EndReason.MIGRATED, MOVE + b"\r\n", why=self._reason))
--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -86,7 +86,7 @@
         request_id = self._request_state.request.request_id
         self._context.counters.add("requests_established")
         self._context.established_sessions[request_id] = EstablishedSession(
-            self._request_state, server, self._latency, self._state, self.abandon_server
+            self._request_state, server, self._latency, self._state, self
         )
         self._state.establish()
         self._context.log.event("session_established", id=request_id, backend=server)
@@ -187,6 +187,13 @@
         """Sends the client away with MOVE, between two lines."""
         self._migration.begin()
 
+    def migrate_now(self) -> None:
+        """Sends the client away without waiting for a line that the server has begun: the process ends."""
+        if self._request_state.migration_reason is None:
+            self._request_state.migration_reason = MigrationReason.DRAIN
+        self._migration.begin()
+        self._migration.finish()
+
     def end_after_crash(self, why: str) -> None:
         """Ends the session after a fault of the program, with MOVE where the client can be sent it: it is sound."""
         last_line = MOVE + b"\r\n" if self._state.is_line_complete else b""
--- a/stoatgw/clients/session_monitor.py
+++ b/stoatgw/clients/session_monitor.py
@@ -48,7 +48,7 @@
             elif session.latency.oldest_pending_us(now_us) > UNANSWERED_TIMEOUT_US:
                 self._context.counters.add("sessions_unanswered")
                 session.latency.pending.clear()
-                session.abandon_server()
+                session.relay.abandon_server()
         if reports_latency and self._context.deployment.reports_message_delay:
             self._report_latencies(now_us)
 
--- a/stoatgw/service/shutdown.py
+++ b/stoatgw/service/shutdown.py
@@ -55,13 +55,16 @@
 
 
 def _answer_waiting(core: ProxyCore) -> None:
-    """Answer who has waited from before the end: a request that crosses the process's end would get no answer.
+    """Answer and migrate who is still there shortly before the end: what crosses it would get no answer, and no MOVE.
 
-    Those are connections that may send their request at any moment, and requests whose session was not restored yet.
+    Those are connections that may send their request at any moment, requests whose session was not restored yet, and
+    sessions whose server does not end its line.
     """
     core.context.descriptor_limiter.evict_all()
     for reject in list(core.context.restoring.values()):
         reject()
+    for session in list(core.context.established_sessions.values()):
+        session.relay.migrate_now()
 
 
 def _log_cut_sessions(core: ProxyCore) -> None:
--- a/tests/test_session_crossings.py
+++ b/tests/test_session_crossings.py
@@ -211,7 +211,7 @@
     async def test(proxy: LoopbackProxy) -> None:
         reader, writer = await open_blocked_session(proxy)
         proxy.controller.post(BeginDrain(0, 1))
-        await asyncio.sleep(2 * migration.LINE_END_TIMEOUT_S)
+        await asyncio.sleep(0.4)
         reader._transport.resume_reading()  # type: ignore[attr-defined]
         received = await reader.read()
         writer.close()
@@ -634,18 +634,22 @@
 
 
 def test_who_still_waits_as_the_process_ends_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
-    """An idle connection, whose request may be on its way, and a session whose server is not listed yet."""
+    """An idle connection, whose request may be on its way, a session not restored yet, and one within a line."""
     monkeypatch.setattr(request_reader, "REQUEST_TIMEOUT_S", 60.0)
 
     async def test(proxy: LoopbackProxy) -> None:
+        session = await proxy.open_session()
+        assert await session[0].readline() == b"UP 77\r\n"
+        session[1].write(b"first\r\n")
+        await proxy.wait_for_half_a_line()
         idle = await proxy.connect()
         proxy.backends._backends.clear()
         restored = await proxy.open_session(b",at=s")
         while not proxy.context.restoring:
             await asyncio.sleep(0.01)
         shutdown._answer_waiting(core_of(proxy))
-        for reader, writer in (idle, restored):
-            assert await reader.read() == b"BUSY\r\n"
+        for (reader, writer), answer in ((idle, b"BUSY\r\n"), (restored, b"BUSY\r\n"), (session, b"MOVE\r\n")):
+            assert await reader.read() == answer
             writer.close()
         await proxy.wait_until_idle()
 
@@ -654,4 +658,5 @@
         object.__setattr__(core, "context", proxy.context)
         return core
 
-    run_loopback(serve_echo, test)
+    monkeypatch.setattr(migration, "LINE_END_TIMEOUT_S", 60.0)
+    run_loopback(serve_half_lines, test)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -7,6 +7,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 import uvloop
@@ -105,7 +106,7 @@
     def only_relay(self) -> Relay:
         """The relay of the only established session."""
         (session,) = self.context.established_sessions.values()
-        relay = session.abandon_server.__self__  # type: ignore[attr-defined]
+        relay = session.relay
         assert isinstance(relay, Relay)
         return relay
 
@@ -234,7 +235,7 @@
         session = proxy.context.established_sessions["0000000000000001"]
         await proxy.wait_for_half_a_line()
         assert not reader._buffer  # type: ignore[attr-defined]  # half a line could not be followed by MOVE
-        session.abandon_server()
+        session.relay.abandon_server()
         writer.write(b"f\r\n")
         assert await reader.read() == b"half\r\nMOVE\r\n"
         writer.close()
@@ -480,6 +481,7 @@
 
     async def test(proxy: LoopbackProxy) -> None:
         abandoned: list[int] = []
+        relay: Any = SimpleNamespace(abandon_server=lambda: abandoned.append(1))
         for silent_us in (0, 1_999_999):
             messages = MessageLatencyTracker()
             start_us = proxy.clock.now_us()
@@ -487,9 +489,7 @@
             messages.record_reply(b"last", start_us)
             messages.record_sent([b"next"], start_us + silent_us)
             state = RequestState(Request("0" * 16, 0, 2_000_000), 0, None)  # type: ignore[arg-type]
-            proxy.context.established_sessions = {
-                "x": EstablishedSession(state, "s", messages, SessionState(), lambda: abandoned.append(1))
-            }
+            proxy.context.established_sessions = {"x": EstablishedSession(state, "s", messages, SessionState(), relay)}
             latest_us = start_us + 7_000_000 - int((MONITOR_INTERVAL_S + LINE_END_TIMEOUT_S) * 1e6)
             proxy.context.clock = SimpleNamespace(now_us=lambda latest_us=latest_us: latest_us)  # type: ignore[assignment]
             SessionMonitor(proxy.context).check_sessions(reports_latency=False)
