Half a line never comes before MOVE, whatever ends first; the reasons for the log are a module

Need: read once more: a server that ends within a line after a migration was decided on, and before MOVE is sent, had its half line passed on as the end of its session, with MOVE behind it.

--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -12,7 +12,8 @@
 from stoatgw.clients.migration import SessionMigration
 from stoatgw.clients.session_end import LINGER_S, SessionCloser
 from stoatgw.clients.session_state import EndReason, SessionEnd
-from stoatgw.controller.messages import AttemptEnd, MigrationReason, RequestState, SessionMetricObserved
+from stoatgw.controller.messages import AttemptEnd, RequestState, SessionMetricObserved
+from stoatgw.controller.reasons import MigrationReason
 from stoatgw.line_protocol.grammar import MOVE, Keyword, encode_error, parse_number, parse_reply
 from stoatgw.line_protocol.splitter import LineAligner, split_lines
 from stoatgw.sockets import tcp
@@ -98,7 +99,8 @@
         if self._attempt_ready is not None and not self._attempt_ready.done():
             self._attempt_ready.set_result(None)
         end = await attempt.relay(self)
-        await self._send_to_client(self._server_lines.take_held())  # the server ended in the middle of a line
+        if not self._state.owes_last_line:  # MOVE may not follow half a line
+            await self._send_to_client(self._server_lines.take_held())  # the server ended in the middle of a line
         return end
 
     def half_close_server(self) -> None:
@@ -161,7 +163,7 @@
         state = self._state
         try:
             async with asyncio.timeout(LINGER_S):
-                while state.is_sending:  # and again, if the relay had more before this task runs
+                while not state.is_line_complete:  # and again, if the relay had more before this task runs
                     self._has_sent = asyncio.get_running_loop().create_future()
                     await self._has_sent
                 state.is_closed_to_client = True
--- a/stoatgw/clients/session_restore.py
+++ b/stoatgw/clients/session_restore.py
@@ -7,7 +7,8 @@
 from stoatgw.backends.attempt import Attempt
 from stoatgw.backends.backend import Backend
 from stoatgw.clients.served_request import ServedRequest
-from stoatgw.controller.messages import AnswerReason, AttemptEnd, AttemptStage, SessionRestored
+from stoatgw.controller.messages import AttemptEnd, AttemptStage, SessionRestored
+from stoatgw.controller.reasons import AnswerReason
 from stoatgw.decisions.interface import AttemptStatus
 
 RESTORE_TIMEOUT_S = 39.0
--- a/stoatgw/clients/session_state.py
+++ b/stoatgw/clients/session_state.py
@@ -156,6 +156,11 @@
         """Whether a last line such as MOVE may be sent to the client now."""
         return self.is_aligned and not self.is_sending
 
+    @property
+    def owes_last_line(self) -> bool:
+        """Whether the session has ended, and its client is still to be sent a last line."""
+        return self.end is not None and bool(self.end.last_line)
+
     def may_send_to_client(self) -> bool:
         """Whether what comes from the server now may still be sent to the client.
 
--- a/stoatgw/controller/attempts.py
+++ b/stoatgw/controller/attempts.py
@@ -4,12 +4,12 @@
 
 from stoatgw.controller.decision_runner import DecisionRunner
 from stoatgw.controller.messages import (
-    AnswerReason,
     AttemptEnded,
     AttemptEstablished,
     SessionMetricObserved,
     SessionRestored,
 )
+from stoatgw.controller.reasons import AnswerReason
 from stoatgw.controller.requests import RequestTable
 from stoatgw.decisions import interface
 from stoatgw.decisions.interface import (
--- a/stoatgw/controller/messages.py
+++ b/stoatgw/controller/messages.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from typing import Protocol
 
+from stoatgw.controller.reasons import AnswerReason, MigrationReason
 from stoatgw.decisions.interface import AttemptStatus, EndpointUpdate, Request, SessionMetricKind
 
 
@@ -23,26 +24,6 @@
     ESTABLISHED = "up"
 
 
-class AnswerReason(Enum):
-    """Why a request was rejected or failed, as the log has it."""
-
-    POLICY = "no server was admitted"
-    DRAINING = "the proxy drains"
-    DEADLINE = "its deadline has passed"
-    DRAIN_ADMISSION_ENDED = "it waited as the drain stopped admitting"
-    POLICY_CRASHED = "the decisions crashed"
-    RESTORE_FAILED = "its session could not be restored"
-
-
-class MigrationReason(Enum):
-    """Why an established session is migrated, as the log has it."""
-
-    DRAIN = "the proxy drains"
-    SERVER_SUSPENDED = "its server is suspended"
-    POLICY = "the load is moved elsewhere"
-    SERVER_UNRESPONSIVE = "its server answers nothing"
-
-
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
     """How an attempt ended, as a value: its status, how far it got, and why."""
--- a/stoatgw/controller/migrations.py
+++ b/stoatgw/controller/migrations.py
@@ -14,10 +14,10 @@
     EvacuateServer,
     MessageQueue,
     MigrateSession,
-    MigrationReason,
     RebalanceDue,
     RequestState,
 )
+from stoatgw.controller.reasons import MigrationReason
 from stoatgw.controller.requests import RequestTable
 from stoatgw.controller.timers import post_later
 from stoatgw.decisions.interface import Migrate, ServerEstimate
--- a/stoatgw/controller/requests.py
+++ b/stoatgw/controller/requests.py
@@ -7,13 +7,13 @@
 from stoatgw.controller.decision_runner import DecisionRunner
 from stoatgw.controller.drain import DrainSchedule
 from stoatgw.controller.messages import (
-    AnswerReason,
     ClientDisconnected,
     MessageQueue,
     RequestReceived,
     RequestState,
     RequestTimedOut,
 )
+from stoatgw.controller.reasons import AnswerReason
 from stoatgw.controller.timers import post_later
 from stoatgw.decisions import interface
 from stoatgw.decisions.interface import Fail, Idempotency, KeyScope, Reject, RequestClass, Settings
--- a/tests/test_session_crossings.py
+++ b/tests/test_session_crossings.py
@@ -173,6 +173,35 @@
     run_loopback(serve_echo, test)
 
 
+def test_half_a_line_of_a_server_that_ends_before_move_is_sent_does_not_come_before_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP 77\r\n")
+        await reader.readline()
+        writer.write(b"hal")
+        writer.close()
+
+    async def test(proxy: LoopbackProxy) -> None:
+        send_last_line = Relay.send_last_line
+
+        async def send_late(self: Relay, last_line: bytes) -> None:
+            while proxy.context.established_sessions:  # until the server has ended
+                await asyncio.sleep(0.01)
+            await send_last_line(self, last_line)
+
+        monkeypatch.setattr(Relay, "send_last_line", send_late)
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        proxy.only_relay.migrate()
+        writer.write(b"go\r\n")
+        assert await reader.read() == b"MOVE\r\n"
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve, test)
+
+
 def test_move_is_sent_without_a_line_that_does_not_end() -> None:
     async def test(proxy: LoopbackProxy) -> None:
         reader, writer = await proxy.open_session()
