MOVE is never sent into a line that its client does not take; the last call goes on to the end

A migration decided on while its client stopped reading could wait a second for the line being sent, and then send MOVE behind the half of it that the client had taken; a session established in the last 0.3 s of a process, with a server within a line, waited past the end. Change: closing sends answers only, any other last line is the relay's to send; the last call before the end is repeated at each poll; one tuple of orderly reasons in place of two. Result: the new test fails without the change; the tests of sessions, crossings, shape, service and hot restart pass.

--- a/stoatgw/clients/session_end.py
+++ b/stoatgw/clients/session_end.py
@@ -8,7 +8,7 @@
 
 from stoatgw.backends.attempt import Attempt
 from stoatgw.clients.context import ProxyContext
-from stoatgw.clients.session_state import EndReason, SessionEnd, SessionState
+from stoatgw.clients.session_state import ORDERLY_REASONS, EndReason, SessionEnd, SessionState
 from stoatgw.controller.messages import AttemptStage
 from stoatgw.sockets import tcp
 
@@ -16,9 +16,6 @@
 ANSWERED_LINGER_S = 0.25  # the same after BUSY or ERR, which nothing on its way can follow
 REJECTED_LINGER_S = 0.25  # the same for a connection that is rejected before its request is accepted
 
-# A client that left, or was sent elsewhere, did so in an orderly way: its last lines shall reach the server.
-ORDERLY_REASONS = (EndReason.CLIENT_DISCONNECTED, EndReason.MIGRATED)
-
 
 async def reject_connection(context: ProxyContext, sock: socket.socket, last_line: bytes) -> None:
     """Sends a last line to a connection without an accepted request, and closes it.
@@ -41,14 +38,13 @@
         state: What has happened to the session so far; only `finish` ends it.
     """
 
-    __slots__ = ("_ended", "_established_attempt", "_is_last_line_sent", "_sock", "state")
+    __slots__ = ("_ended", "_established_attempt", "_sock", "state")
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self.state = SessionState()
         self._ended: asyncio.Future[SessionEnd] = asyncio.get_running_loop().create_future()
         self._established_attempt: Attempt | None = None  # that is over, its connection still open
-        self._is_last_line_sent = False
 
     def finish(self, end: SessionEnd) -> None:
         """Ends the session, unless it has ended before."""
@@ -62,8 +58,8 @@
     def close_attempt(self, attempt: Attempt) -> None:
         """Closes the connection of an attempt that is over, or leaves that to `close_both` if it was established.
 
-        The session's other task may be sending on the connection of an established one: closed under it, the
-        descriptor could be another connection's by the time that the task is cancelled.
+        The session's other task may be sending on the connection of an established one: a socket is closed only once
+        no task waits on it.
         """
         if attempt.stage is AttemptStage.ESTABLISHED:
             self._established_attempt = attempt
@@ -73,7 +69,6 @@
 
     async def send_last_line(self, last_line: bytes) -> None:
         """Sends a last line and shuts down sending; the client is still read. Raises OSError."""
-        self._is_last_line_sent = True
         await tcp.send_all(self._sock, last_line)
         self._sock.shutdown(socket.SHUT_WR)
 
@@ -83,8 +78,9 @@
         if end.was_reset or end.reason is EndReason.CLIENT_DISCONNECTED:  # nobody is there to read a last line
             tcp.close(self._sock, reset=end.was_reset)
         else:
+            # Any other last line is sent before, or not at all: the client may have been left within a line.
+            last_line = end.last_line if end.is_answer else b""
             linger_s = ANSWERED_LINGER_S if end.is_answer else LINGER_S
-            last_line = b"" if self._is_last_line_sent else end.last_line
             closing.append(tcp.close_gracefully(self._sock, last_line, linger_s))
         attempt = self._established_attempt
         if attempt is not None and end.reason in ORDERLY_REASONS and not (end.was_reset or attempt.has_ended):
--- a/stoatgw/clients/session_state.py
+++ b/stoatgw/clients/session_state.py
@@ -28,7 +28,8 @@
 
 
 CLIENT_FAULT_REASONS = (EndReason.CLIENT_DISCONNECTED, EndReason.PROTOCOL_VIOLATED)
-LINGERING_REASONS = (EndReason.CLIENT_DISCONNECTED, EndReason.MIGRATED)  # lines may be on their way to the client
+# A client that left, or was sent elsewhere, did so in an orderly way: lines on their way, either way, shall arrive.
+ORDERLY_REASONS = (EndReason.CLIENT_DISCONNECTED, EndReason.MIGRATED)
 ANSWER_REASONS = (EndReason.ANSWERED, EndReason.PROTOCOL_VIOLATED)
 
 
@@ -169,7 +170,7 @@
         """
         if self.is_closed_to_client:
             return False
-        return self.end is None or (self.end.reason in LINGERING_REASONS and not self.end.was_reset)
+        return self.end is None or (self.end.reason in ORDERLY_REASONS and not self.end.was_reset)
 
     def must_report_disconnect(self) -> bool:
         """Whether the controller has yet to learn that nobody waits for the request, or uses the session, any more.
--- a/stoatgw/service/shutdown.py
+++ b/stoatgw/service/shutdown.py
@@ -38,7 +38,6 @@
 
 async def _serve_to_the_end(core: ProxyCore, plan: ShutdownPlan, started_us: int, *, is_listening: bool) -> None:
     """Wait until all connections have ended, at least for the plan's shortest duration and at most for its longest."""
-    is_closing = False
     while True:
         elapsed_us = core.context.clock.now_us() - started_us
         if elapsed_us >= plan.max_duration_us:
@@ -46,9 +45,8 @@
         if is_listening and elapsed_us >= plan.min_duration_us - BACKLOG_LEAD_US:
             is_listening = False
             await core.listener.close()
-        if not is_closing and elapsed_us >= plan.max_duration_us - FINAL_ANSWER_LEAD_US:
-            is_closing = True
-            _answer_waiting(core)
+        if elapsed_us >= plan.max_duration_us - FINAL_ANSWER_LEAD_US:
+            _answer_waiting(core)  # each time, as more may come
         if elapsed_us >= plan.min_duration_us and not core.listener.open_connections:
             return
         await asyncio.sleep(POLL_INTERVAL_S)
--- a/tests/test_session_crossings.py
+++ b/tests/test_session_crossings.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from stoatgw.backends.attempt import Attempt
-from stoatgw.clients import migration, request_reader
+from stoatgw.clients import migration, relay, request_reader
 from stoatgw.clients.relay import Relay
 from stoatgw.clients.session_monitor import UNANSWERED_TIMEOUT_US, SessionMonitor
 from stoatgw.clients.session_state import EndReason, SessionEnd
@@ -154,18 +154,18 @@
 
         async def send_and_receive(sock: socket.socket, data: bytes) -> None:
             if data == b"MOVE\r\n":
-                forwarding = relay.forward(b"behind\r\n")
+                forwarding = session.forward(b"behind\r\n")
                 await send_all(sock, data)
                 await forwarding
-                await relay.forward(b"far behind\r\n")
+                await session.forward(b"far behind\r\n")
             else:
                 await send_all(sock, data)
 
         monkeypatch.setattr(tcp, "send_all", send_and_receive)
         reader, writer = await proxy.open_session()
         assert await reader.readline() == b"UP 77\r\n"
-        relay = proxy.only_relay
-        relay.migrate()
+        session = proxy.only_relay
+        session.migrate()
         assert await reader.read() == b"MOVE\r\n"
         writer.close()
         await proxy.wait_until_idle()
@@ -265,6 +265,22 @@
     run_loopback(serve_flood, test)
 
 
+def test_move_is_not_sent_into_a_line_that_the_client_does_not_take(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(relay, "LINGER_S", 0.1)
+
+    async def test(proxy: LoopbackProxy) -> None:
+        reader, writer = await open_blocked_session(proxy)
+        proxy.only_relay._closer.finish(SessionEnd(EndReason.MIGRATED, b"MOVE\r\n"))
+        while proxy.context.established_sessions:
+            await asyncio.sleep(0.01)
+        reader._transport.resume_reading()  # type: ignore[attr-defined]
+        assert (b"UP 77\r\n" + FLOOD).startswith(await reader.read())
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_flood, test)
+
+
 def test_a_client_that_takes_nothing_does_not_hold_a_migration_up_for_good(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(migration, "CLIENT_TIMEOUT_S", 0.1)
 
