Log: why a connection broke before its request, each retry's reason, and ends that nobody reads

Change: connection_broken and connection_closed say why; session_restore_retried once for each new reason, with the attempts so far; health_check_retried and health_check_failed, rate-limited; once a second the session monitor looks, with one system call, for ends that two looks in a row find unread (end_unread, counter ends_unread). Nothing is logged per forwarded line.

--- a/stoatgw/backends/attempt.py
+++ b/stoatgw/backends/attempt.py
@@ -104,6 +104,11 @@
         self.was_reset = False
         """The backend ended the established session with a reset."""
 
+    @property
+    def descriptor(self) -> int | None:
+        """The descriptor of its connection; None before there is one."""
+        return self._sock.fileno() if self._sock is not None else None
+
     async def open(
         self, encode_request: Callable[[int], bytes], deadline_us: int, send_before_us: int = 0
     ) -> AttemptEnd | None:
--- a/stoatgw/backends/health_check.py
+++ b/stoatgw/backends/health_check.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from dataclasses import dataclass
 
@@ -15,6 +14,7 @@
 from stoatgw.line_protocol.splitter import LineSplitter
 from stoatgw.sockets import tcp
 from stoatgw.telemetry.counters import Counters
+from stoatgw.telemetry.log import RateLimitedLog
 
 HEALTH_CHECK_TIMEOUT_S = 0.5
 MAX_IDLE_CONNECTIONS = 24  # kept open between checks: others need the descriptors, too
@@ -43,20 +43,27 @@
 
 @dataclass(slots=True, eq=False)
 class _Check:
-    """One health check in progress; `status` is its result if it fails now."""
+    """One health check in progress; `status` is its result if it fails now, and `reason` why it failed."""
 
     backend: Backend
     started_us: int
     sock: socket.socket | None
     status: AttemptStatus = AttemptStatus.DIAL_FAILED
     load_report: tuple[float | None, ...] = ()
+    reason: str = ""
 
 
 class HealthChecker:
     """Checks backends, one check of each at a time, and posts the results to the controller's queue."""
 
     def __init__(
-        self, queue: MessageQueue, clock: Clock, schema: LoadReportSchema, connect_timeout_us: int, counters: Counters
+        self,
+        queue: MessageQueue,
+        clock: Clock,
+        schema: LoadReportSchema,
+        connect_timeout_us: int,
+        counters: Counters,
+        log: RateLimitedLog,
     ) -> None:
         """Start without connections."""
         self._queue = queue
@@ -64,6 +71,7 @@
         self._schema = schema
         self._connect_timeout_s = connect_timeout_us / 1e6
         self._counters = counters
+        self._log = log
         self._idle: dict[str, socket.socket] = {}  # by backend, least recently used first
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -92,11 +100,16 @@
                     reply = await self._request_on_new(check)
             self._record_reply(check, reply)
         except TimeoutError:
+            check.reason = "timed out"
             if check.status is not AttemptStatus.DIAL_FAILED:
                 check.status = AttemptStatus.EXPIRED
-        except OSError:
-            pass  # the status says how far the check had come
+        except OSError as error:
+            check.reason = str(error)  # the status says how far the check had come
         finally:
+            if check.reason:
+                self._log.event(
+                    "health_check_failed", backend=backend.name, status=check.status.value, why=check.reason
+                )
             if check.sock is not None:
                 tcp.close(check.sock)
             self._counters.add(f"health_checks_{check.status.value}")
@@ -110,14 +123,16 @@
         """
         if check.sock is None:
             return None
-        reply = None
-        with contextlib.suppress(OSError):
+        reason = "its idle connection had ended"
+        try:
             if not _has_ended(check.sock):
-                reply = await _request_report(check.sock)
-        if reply is None:
-            tcp.close(check.sock)
-            check.sock = None
-        return reply
+                return await _request_report(check.sock)
+        except OSError as error:
+            reason = str(error)
+        tcp.close(check.sock)
+        check.sock = None
+        self._log.event("health_check_retried", backend=check.backend.name, why=reason)
+        return None
 
     async def _request_on_new(self, check: _Check) -> Reply:
         check.sock = tcp.create_socket()
@@ -130,6 +145,8 @@
         """Note the result, and keep the connection for the next check if it is of use."""
         is_healthy = reply.keyword is Keyword.PONG
         check.status = AttemptStatus.DELIVERED if is_healthy else AttemptStatus.APP_ERROR
+        if not is_healthy:
+            check.reason = f"answered {reply.keyword.name}"
         if reply.fields:
             check.load_report = self._schema.to_row(reply.load_report)
         if is_healthy and check.sock is not None and check.backend.draining_since_us is None:
--- a/stoatgw/clients/context.py
+++ b/stoatgw/clients/context.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Protocol
 
 from stoatgw.backends.backend import BackendRegistry
@@ -24,9 +25,35 @@
 from stoatgw.telemetry.metrics import RequestMetrics
 
 
+class PeerSide(Enum):
+    """Whose connection one of a session's two connections is."""
+
+    CLIENT = "client"
+    SERVER = "server"
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """One open connection of a session.
+
+    Attributes:
+        side: Whose it is.
+        descriptor: Its descriptor.
+        is_blocked: What it has sent is not read, as the other side does not take what it was sent before.
+    """
+
+    side: PeerSide
+    descriptor: int
+    is_blocked: bool
+
+
 class MigratingRelay(Protocol):
     """Sends the client of an established session away, for those who have no business with the controller."""
 
+    def peers(self) -> Iterator[Peer]:
+        """Gives the open connections of the session."""
+        ...
+
     def abandon_server(self) -> None:
         """Migrates the session, as its server is taken to be unresponsive."""
         ...
--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Iterator
 
 from stoatgw.backends.attempt import READ_SIZE_BYTES, Attempt
 from stoatgw.backends.latency import MessageLatencyTracker
-from stoatgw.clients.context import EstablishedSession, ProxyContext
+from stoatgw.clients.context import EstablishedSession, Peer, PeerSide, ProxyContext
 from stoatgw.clients.migration import SessionMigration
 from stoatgw.clients.session_end import LINGER_S, SessionCloser
 from stoatgw.clients.session_state import EndReason, SessionEnd
@@ -43,6 +43,7 @@
         "_closer",
         "_context",
         "_has_sent",
+        "_is_sending_to_server",
         "_latency",
         "_migration",
         "_request_state",
@@ -69,6 +70,7 @@
         self._attempt: Attempt | None = None  # once UP is passed on
         self._attempt_ready: asyncio.Future[None] | None = None  # while the client's task waits for that
         self._has_sent: asyncio.Future[None] | None = None  # while the last line waits for the lines before it
+        self._is_sending_to_server = False  # and the client is not read meanwhile
         self._client_lines = LineAligner()
         self._server_lines = LineAligner()
         self._migration = SessionMigration(context.log, closer, request_state, self._server_lines)
@@ -183,6 +185,12 @@
         was_reset = not isinstance(error, BrokenPipeError)
         self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=was_reset, why=str(error)))
 
+    def peers(self) -> Iterator[Peer]:
+        """Gives the open connections of the session."""
+        yield Peer(PeerSide.CLIENT, self._sock.fileno(), is_blocked=self._is_sending_to_server)
+        if self._attempt is not None and self._attempt.descriptor is not None:
+            yield Peer(PeerSide.SERVER, self._attempt.descriptor, is_blocked=self._state.is_sending)
+
     # Migration.
 
     def migrate(self) -> None:
@@ -245,11 +253,14 @@
         lines = split_lines(data)
         self._context.counters.add("lines_from_clients", len(lines))
         self._latency.record_sent(lines, self._context.clock.now_us())
+        self._is_sending_to_server = True
         try:
             await attempt.send(data)
         except OSError as error:
             attempt.record_break(error)
             await self._confirm_server_break(error)
+        finally:
+            self._is_sending_to_server = False
 
     async def _wait_for_attempt(self) -> Attempt:
         """Waits until UP is passed on."""
--- a/stoatgw/clients/request_reader.py
+++ b/stoatgw/clients/request_reader.py
@@ -39,6 +39,11 @@
         self._is_answering_ping = False
         self._wake_up = asyncio.Event()  # there is something to read, or the time is up
 
+    @property
+    def holds_partial_request(self) -> bool:
+        """Whether a request was begun, and not ended."""
+        return bool(self._splitter.trailing_data)
+
     def is_idle(self) -> bool:
         """Whether all that was received is read, and was no request."""
         return not self._has_unread_data()
--- a/stoatgw/clients/session.py
+++ b/stoatgw/clients/session.py
@@ -20,6 +20,7 @@
     """
 
     __slots__ = (
+        "_closed_reason",
         "_closer",
         "_context",
         "_handler",
@@ -27,7 +28,6 @@
         "_reader",
         "_request",
         "_sock",
-        "_was_expired",
     )
 
     def __init__(self, sock: socket.socket, context: ProxyContext) -> None:
@@ -36,7 +36,7 @@
         self._reader: RequestReader | None = RequestReader(sock, context)  # until it has read the request
         context.descriptor_limiter.add_idle(self._reader)
         self._request: SessionRequest | None = None  # once it is accepted
-        self._was_expired = False  # its time for a request was up, or its descriptor was needed
+        self._closed_reason = ""  # why it is closed without a request, if that is worth a line in the log
         self._holds_descriptors = False
         self._closer: SessionCloser | None = None  # once it has them
         self._handler: SessionRequestHandler | None = None
@@ -45,22 +45,26 @@
         """Serves the connection; never raises, unless cancelled."""
         try:
             await self._read_and_serve()
-        except OSError:
+        except OSError as error:
             self._context.counters.add("sessions_broken")
+            self._context.flood_log.event("connection_broken", id=self._request_id, why=str(error))
         except Exception as error:
             self._context.counters.add("sessions_crashed")
             if self._handler is not None:
                 self._handler.record_outcome(RequestOutcome.ERROR)
-            request_id = self._request.request_id if self._request is not None else None
-            self._context.log.event("session_crashed", id=request_id, error=repr(error))
+            self._context.log.event("session_crashed", id=self._request_id, error=repr(error))
         finally:
             self._release()
 
+    @property
+    def _request_id(self) -> str | None:
+        return self._request.request_id if self._request is not None else None
+
     async def _read_and_serve(self) -> None:
         request = await self._read_request()
         if request is None:
-            if self._was_expired:
-                self._context.flood_log.event("connection_closed", why="it sent no request in time")
+            if self._closed_reason:
+                self._context.flood_log.event("connection_closed", why=self._closed_reason)
             # BUSY: a request that crosses it on the way has its answer, and may be sent again.
             await reject_connection(self._context, self._sock, encode_busy(0))
         elif isinstance(request, MalformedRequest):
@@ -76,7 +80,10 @@
         if self._reader is None:
             return None
         request = await self._reader.read_request()
-        self._was_expired = self._reader.is_expired
+        if self._reader.is_expired:
+            self._closed_reason = "it sent no request in time"
+        elif self._reader.holds_partial_request:
+            self._closed_reason = "its client ended it within its request"
         self._drop_reader()
         return request
 
--- a/stoatgw/clients/session_monitor.py
+++ b/stoatgw/clients/session_monitor.py
@@ -6,11 +6,12 @@
 
 from stoatgw.backends.latency import current_latency_ms
 from stoatgw.clients.context import ProxyContext
+from stoatgw.clients.unread_ends import UnreadEndDetector
 from stoatgw.controller.messages import SessionMetricObserved
 from stoatgw.decisions.interface import SessionMetricKind
 
 MONITOR_INTERVAL_S = 0.25
-ROUNDS_PER_REPORT = round(1 / MONITOR_INTERVAL_S)  # latencies are reported once a second
+ROUNDS_PER_REPORT = round(1 / MONITOR_INTERVAL_S)  # latencies and unread ends are reported once a second
 # A client sends a line every 2 s, and one whose server answers nothing is to be migrated within 7 s of the last line
 # that came back: with this interval and the wait for the end of a line, 5 s were too many.
 UNANSWERED_TIMEOUT_US = 4_000_000
@@ -18,13 +19,17 @@
 
 
 class SessionMonitor:
-    """Reports the message latency of servers to the controller, and abandons servers that answer nothing."""
+    """Reports the message latency of servers to the controller, and abandons servers that answer nothing.
+
+    Logs ends of connections that nobody reads, besides.
+    """
 
     def __init__(self, context: ProxyContext) -> None:
         self._context = context
         objectives_us = [profile.message_aim_us for profile in context.deployment.settings.profiles]
         self._reported_from_ms = min(objectives_us) / 1000 / REPORTED_OBJECTIVE_DIVISOR
         self._reported_servers: set[str] = set()  # in the last round that reported
+        self._unread_ends = UnreadEndDetector(context)
 
     async def run(self) -> None:
         """Checks all sessions at each interval, for good."""
@@ -33,7 +38,10 @@
             await asyncio.sleep(MONITOR_INTERVAL_S)
             rounds += 1
             try:
-                self.check_sessions(reports_latency=rounds % ROUNDS_PER_REPORT == 0)
+                is_report_due = rounds % ROUNDS_PER_REPORT == 0
+                self.check_sessions(reports_latency=is_report_due)
+                if is_report_due:
+                    self._unread_ends.check()
             except Exception as error:  # a fault here must not end the proxy
                 self._context.counters.add("session_monitor_failures")
                 self._context.log.event("session_monitor_failed", error=repr(error))
--- a/stoatgw/clients/session_restore.py
+++ b/stoatgw/clients/session_restore.py
@@ -26,6 +26,8 @@
         self._attempt: Attempt | None = None
         self._is_established = False
         self._end: AttemptEnd | None = AttemptEnd(AttemptStatus.DIAL_FAILED, AttemptStage.CONNECTING, "not listed")
+        self._attempts = 0
+        self._logged_reason = ""
 
     async def run(self) -> None:
         """Connects, relays the session until it ends, and reports what came of it."""
@@ -66,14 +68,23 @@
                     return attempt
                 if self._end.status not in RETRIED_STATUSES:
                     return None
+            self._log_retry()
             await asyncio.sleep(RESTORE_RETRY_INTERVAL_S)
         return None
 
+    def _log_retry(self) -> None:
+        """Logs why there is a retry, where the reason is another than for the last: ten retries a second have one."""
+        reason = self._end.reason if self._end is not None else ""
+        if reason != self._logged_reason:
+            self._logged_reason = reason
+            self._served.log_event("session_restore_retried", backend=self._server, why=reason, attempts=self._attempts)
+
     async def _connect(self, backend: Backend, deadline_us: int) -> Attempt:
         """Makes one attempt, whose end goes to `_end`: None if it is established."""
         served = self._served
         attempt = served.create_attempt(backend, RESTORE_DIAL_TIMEOUT_US)
         self._attempt = attempt
+        self._attempts += 1
         self._end = await attempt.open(lambda _: served.request.line + b"\r\n", deadline_us)
         if self._end is None:
             self._is_established = True
@@ -95,6 +106,6 @@
             return
         reason = self._end.reason if self._end is not None else "fault"
         served.context.counters.add("sessions_not_restored")
-        served.log_event("session_restore_failed", why=reason)
+        served.log_event("session_restore_failed", backend=self._server, why=reason, attempts=self._attempts)
         served.request_state.answer_reason = AnswerReason.RESTORE_FAILED
         asyncio.get_running_loop().call_soon(served.request_state.handler.fail)
--- a/stoatgw/service/core.py
+++ b/stoatgw/service/core.py
@@ -22,7 +22,7 @@
 from stoatgw.service.gateway import HealthCheckResults, ServiceGateway
 from stoatgw.suspension.overrides import EndpointOverrides
 from stoatgw.telemetry.counters import Counters
-from stoatgw.telemetry.log import EventLog
+from stoatgw.telemetry.log import EventLog, RateLimitedLog
 
 # Descriptors of the second address, where there is one: its connections, its listener, and a few that are closing.
 MANAGEMENT_DESCRIPTORS = 36
@@ -72,7 +72,14 @@
     controller = Controller(settings, deployment.seed, clock, log, counters)
     load_reports = LoadReportSchema(settings.report_columns)
     health_check_results = HealthCheckResults(controller)
-    health_checker = HealthChecker(health_check_results, clock, load_reports, deployment.dial_timeout_us, counters)
+    health_checker = HealthChecker(
+        health_check_results,
+        clock,
+        load_reports,
+        deployment.dial_timeout_us,
+        counters,
+        RateLimitedLog(log, clock),
+    )
     overrides = EndpointOverrides()
     publisher = EndpointPublisher(
         backends,
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -36,7 +36,7 @@
 )
 from stoatgw.decisions.interface import Endpoint, EndpointUpdate, EndpointUpdateKind, Request, SessionMetricKind
 from stoatgw.telemetry.counters import Counters
-from stoatgw.telemetry.log import EventLog
+from stoatgw.telemetry.log import EventLog, RateLimitedLog
 from tests.test_discovery import CONFIG
 
 OPEN = b"OPEN %016x 1 c=chat,d=2000\r\n"
@@ -55,7 +55,10 @@
         log = EventLog("test")
         self.controller = Controller(self.deployment.settings, 1, self.clock, log, self.counters)
         columns = LoadReportSchema(self.deployment.settings.report_columns)
-        self.health_checker = HealthChecker(self.controller, self.clock, columns, 250_000, self.counters)
+        health_check_log = RateLimitedLog(log, self.clock)
+        self.health_checker = HealthChecker(
+            self.controller, self.clock, columns, 250_000, self.counters, health_check_log
+        )
         self.descriptor_limiter = DescriptorLimiter(self.deployment.max_sockets)
         self.context = ProxyContext(
             self.deployment,
