Test, failing: ends of servers and clients that nobody is told of, on a real process

Change: a grid of how a peer ends its connection, what is unread before it, and whether the proxy learns of both in one turn of its loop (the process is stopped meanwhile), for servers and clients, established and before UP, with no failing call and with a recv that fails once (EAGAIN, in the process, by a launcher of the tests). The rig of real processes is drawn out of tests/session_ends.py, unchanged.

--- /dev/null
+++ b/tests/failing_calls.py
@@ -0,0 +1,71 @@
+"""Runs the real proxy with socket calls that fail once: `python -m tests.failing_calls recv:EAGAIN`.
+
+`recv` fails once on each connection, as the end of its peer has come and is not read yet; `send` fails once, at the
+second call on each connection; `shutdown` fails once, at the first.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import select
+import socket
+import sys
+from typing import Any
+
+END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+SENDS_BEFORE_FAILURE = 1
+
+
+class FailingSocket(socket.socket):
+    """Fails one call, for a moment, on each connection."""
+
+    failing_call = ""
+    error_number = 0
+    _has_failed = False
+    _sends = 0
+
+    def _fail_once(self, call: str) -> None:
+        if call == self.failing_call and not self._has_failed:
+            self._has_failed = True
+            raise OSError(self.error_number, os.strerror(self.error_number))
+
+    def _has_ended(self) -> bool:
+        poll = select.poll()
+        poll.register(self, select.POLLRDHUP)
+        return any(events & END_EVENTS for _, events in poll.poll(0))
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        if not flags and self._has_ended():
+            self._fail_once("recv")
+        return super().recv(size, flags)
+
+    def recv_into(self, *args: Any) -> int:
+        if self._has_ended():
+            self._fail_once("recv")
+        return super().recv_into(*args)
+
+    def send(self, *args: Any) -> int:
+        if self._sends >= SENDS_BEFORE_FAILURE:
+            self._fail_once("send")
+        self._sends += 1
+        return super().send(*args)
+
+    def shutdown(self, how: int) -> None:
+        self._fail_once("shutdown")
+        super().shutdown(how)
+
+
+def main() -> int:
+    """Runs the proxy; returns its exit status."""
+    call, _, error_name = sys.argv[1].partition(":")
+    FailingSocket.failing_call = call
+    FailingSocket.error_number = getattr(errno, error_name) if error_name else 0
+    socket.socket = FailingSocket  # type: ignore[misc]
+    from stoatgw.service import main as serve
+
+    return serve()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/session_ends.py
+++ b/tests/session_ends.py
@@ -4,17 +4,11 @@
 
 import asyncio
 import contextlib
-import json
-import os
-import signal
-import socket
-import sys
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tests.proxy_process import free_port, next_event, start_discovery, write_config
-from tests.test_discovery import entry, page
+from tests.proxy_rig import ProxyRig
 
 SERVER_NAMES = ("s-1", "s-2")
 CLIENT_INTERVAL_S = 0.003  # between two lines of a client
@@ -64,65 +58,16 @@
         return [f"session {self.number}: {fault}; {ends}" for fault, is_seen in faults.items() if is_seen]
 
 
-class ConversationRig:
-    """Session servers and clients in this process, and processes of one proxy between them."""
+class ConversationRig(ProxyRig):
+    """Clients that keep sending, and session servers that answer in pieces."""
 
     def __init__(self, folder: Path) -> None:
-        self._folder = folder
-        self._listening = socket.create_server(("127.0.0.1", 0), backlog=256)
+        super().__init__(folder)
         self._by_id: dict[bytes, Conversation] = {}
         self._last_number = 0
         self.servers_stall = False  # in the middle of their next line, for good
         self._open_sessions = 0  # at all session servers
         self._clients: list[asyncio.Task[None]] = []
-        self._programs: list[asyncio.subprocess.Process] = []
-        self._readers: list[asyncio.Task[None]] = []
-        self.log: list[dict[str, object]] = []  # of all processes
-
-    async def start_services(self) -> None:
-        """Starts the session servers and discovery, and writes the configuration."""
-        entries = []
-        for name in SERVER_NAMES:
-            server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-            port = server.sockets[0].getsockname()[1]
-            entries.append(entry(instanceId=name, hostPort=f"127.0.0.1:{port}"))
-        discovery = await start_discovery(json.dumps(page(*entries)).encode() + b"\n")
-        host, port = self._listening.getsockname()
-        (self._folder / "tmp").mkdir()
-        write_config(self._folder / "config.json", listen=f"{host}:{port}", discovery=discovery.address)
-
-    async def start_process(self) -> tuple[asyncio.subprocess.Process, int]:
-        """A process of the proxy that is ready, and the port of its second address."""
-        port = free_port()
-        descriptor = self._listening.fileno()
-        variables = {
-            "LB_CONFIG": str(self._folder / "config.json"),
-            "LB_MANAGEMENT": f"127.0.0.1:{port}",
-            "LB_LISTEN_FD": str(descriptor),
-            "TMPDIR": str(self._folder / "tmp"),
-        }
-        program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "stoatgw", env=os.environ | variables, stdout=-1, pass_fds=[descriptor]
-        )
-        self._programs.append(program)
-        assert program.stdout is not None
-        await next_event(program.stdout, "ready")
-        self._readers.append(asyncio.create_task(self._read_log(program.stdout)))
-        while (await self.call(port, "/v1/readyz", "GET")) != 200:
-            await asyncio.sleep(0.02)
-        return program, port
-
-    async def _read_log(self, output: asyncio.StreamReader) -> None:
-        while line := await output.readline():
-            self.log.append(json.loads(line))
-
-    async def call(self, port: int, path: str, method: str = "POST") -> int:
-        """The status that the second address answers a call with."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(f"{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
-        head = await reader.read()
-        writer.close()
-        return int(head.split()[1])
 
     async def start_sessions(self, count: int) -> None:
         """Establishes sessions one after the other; their clients go on sending."""
@@ -134,7 +79,7 @@
         number = self._last_number
         request_id = b"%016x" % number
         conversation = self._by_id[request_id] = Conversation(number)
-        reader, writer = await asyncio.open_connection(*self._listening.getsockname())
+        reader, writer = await asyncio.open_connection(*self.address)
         writer.write(b"OPEN %s 1 c=chat,d=2000\r\n" % request_id)
         conversation.received = await reader.readline()
         if conversation.received.startswith(b"UP"):
@@ -155,15 +100,6 @@
         await asyncio.gather(*self._clients)
         return [fault for conversation in self._by_id.values() for fault in conversation.faults()]
 
-    async def stop(self) -> None:
-        """Ends all processes in an orderly way, and waits for the last lines of their logs."""
-        for program in self._programs:
-            if program.returncode is None:
-                program.send_signal(signal.SIGTERM)
-            assert await program.wait() == 0
-        await asyncio.gather(*self._readers)
-        self._listening.close()
-
     # A client.
 
     async def _converse(
@@ -189,7 +125,7 @@
 
     # A session server.
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         request = await reader.readline()
         if request.startswith(b"OPEN"):
             self._open_sessions += 1
@@ -225,12 +161,6 @@
 async def conversation_rig(folder: Path) -> AsyncIterator[ConversationRig]:
     """A rig whose services run; its processes are ended in any case."""
     rig = ConversationRig(folder)
-    await rig.start_services()
-    try:
-        async with asyncio.timeout(60):
-            yield rig
-            await rig.stop()
-    finally:
-        for program in rig._programs:
-            if program.returncode is None:
-                program.kill()
+    await rig.start_services(SERVER_NAMES)
+    async with rig.running():
+        yield rig
--- /dev/null
+++ b/tests/test_peer_ends.py
@@ -0,0 +1,44 @@
+"""A peer ends its connection, in whatever way: the other side is told at once, and nothing of the session is left.
+
+The failure: in a deployment trial with injected faults, clients were left waiting on sessions that their session
+servers had ended. Some had read `BYE` and waited for the end behind it; others saw nothing at all. Nothing was in the
+log, and the proxy held the sessions until its own shutdown sent their clients away with `MOVE`.
+
+The cause: the reader of a connection asked the event loop once to watch it, for all its reads. When a connection
+breaks, the loop tells a watch once, and drops it. Where a reset came in one turn of the loop with `BYE`, the reader
+was told once for both, read `BYE`, and waited for a second time that could not come. Where no bytes preceded the
+reset, it was enough that the read failed for a moment just then.
+
+The evidence: a process that is held up while its peers write and reset their connections loses the ends of just these
+sessions, and of no others; with a watch for each read it loses none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from tests.peer_ends import PeerEndRig
+
+SERVER_NAMES = [f"s-{number}" for number in range(8)]
+
+
+def play(folder: Path, failing_call: str) -> list[str]:
+    """Plays all cases with one call that fails once on each connection; what was wrong."""
+
+    async def test() -> list[str]:
+        rig = PeerEndRig(folder)
+        await rig.start_services(SERVER_NAMES)
+        async with rig.running():
+            process, _ = await rig.start_process(["tests.failing_calls", failing_call])
+            return await rig.play(process)
+
+    return asyncio.run(test())
+
+
+def test_an_end_is_passed_on_whatever_precedes_it(tmp_path: Path) -> None:
+    assert play(tmp_path, "none") == []
+
+
+def test_an_end_is_passed_on_though_reading_it_fails_once(tmp_path: Path) -> None:
+    assert play(tmp_path, "recv:EAGAIN") == []
