A watch of a socket ends with its first event: no end of a peer goes unread

Cause: uvloop tells the watches of a connection that breaks once and drops them (UVPoll._fatal_error, on EPOLLERR). SocketReader, since, kept one watch for all reads: a reset in one turn of the loop with unread bytes was told once for both, the bytes were read, and the next wait had no end. A read that failed for a moment at a reset had the same effect there, and in the loop's own sock_recv. The reader of a first line kept one watch, too. Change: each wait sets a watch of its own, which is removed in the step that tells of the event (sockets/tcp.py _watch_once); reads and writes that fail for a moment are repeated on a new one; first lines, graceful closes and PING's answer go the same way; a shutdown of sending that fails for a moment is repeated.

--- a/stoatgw/backends/attempt.py
+++ b/stoatgw/backends/attempt.py
@@ -57,7 +57,6 @@
         "_connect_timeout_us",
         "_drain_grace_us",
         "_on_sent",
-        "_reader",
         "_sock",
         "_splitter",
         "_to_load_report_row",
@@ -93,7 +92,6 @@
         self._to_load_report_row = to_load_report_row
         self._on_sent = on_sent
         self._sock: socket.socket | None = None
-        self._reader: tcp.SocketReader | None = None  # once the request is sent
         self._splitter = LineSplitter()  # until UP
         self._break_reason = ""
         self.stage = AttemptStage.CONNECTING
@@ -133,8 +131,7 @@
                     return self._end(AttemptStatus.DIAL_FAILED, obstacle)
                 timeout.reschedule(asyncio.get_running_loop().time() + (deadline_us - now_us) / 1e6)
                 await self._send_request(self._sock, encode_request((deadline_us - now_us) // 1000))
-                self._reader = tcp.SocketReader(self._sock)
-                return await self._receive_first_reply(self._reader)
+                return await self._receive_first_reply(self._sock)
         except TimeoutError:
             if self._has_unread_up():
                 return None
@@ -144,10 +141,10 @@
 
     async def relay(self, listener: RelayListener) -> AttemptEnd:
         """Forward all that an established session brings until the backend ends the connection."""
-        assert self._reader is not None, "relay comes after open"
+        assert self._sock is not None, "relay comes after open"
         try:
             # No buffer is kept while nothing arrives: most sessions are idle most of the time.
-            while data := await self._reader.receive(READ_SIZE_BYTES):
+            while data := await tcp.receive(self._sock, READ_SIZE_BYTES):
                 await listener.forward(data)
         except OSError as error:
             self.record_break(error)
@@ -174,8 +171,6 @@
 
     def close(self, *, reset: bool = False) -> None:
         """Close at once, with FIN or, if asked, with RST."""
-        if self._reader is not None:
-            self._reader.stop()
         if self._sock is not None:
             tcp.close(self._sock, reset=reset)
 
@@ -183,12 +178,10 @@
         """Shut down sending: what was sent still arrives, also while the backend's bytes are unread."""
         if self._sock is not None:
             with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_WR)
+                tcp.shut_down_sending(self._sock)
 
     async def close_gracefully(self, timeout_s: float) -> None:
         """Close once the backend has shut down sending, or after the timeout."""
-        if self._reader is not None:
-            self._reader.stop()
         if self._sock is not None:
             await tcp.close_gracefully(self._sock, b"", timeout_s, MAX_DISCARDED_BYTES)
 
@@ -208,10 +201,10 @@
         self.stage = AttemptStage.SENT
         self._on_sent()
 
-    async def _receive_first_reply(self, reader: tcp.SocketReader) -> AttemptEnd | None:
+    async def _receive_first_reply(self, sock: socket.socket) -> AttemptEnd | None:
         lines: list[bytes] = []
         while not lines:
-            data = await reader.receive(READ_SIZE_BYTES)
+            data = await tcp.receive(sock, READ_SIZE_BYTES)
             if not data:
                 return self._end(AttemptStatus.DROPPED, "ended without a word")
             lines = self._receive_before_up(data)
--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -222,9 +222,8 @@
 
         Goes on reading after an end that leaves the client's last lines on their way, until it is cancelled.
         """
-        reader = tcp.SocketReader(self._sock)
         try:
-            while data := await reader.receive(READ_SIZE_BYTES):
+            while data := await tcp.receive(self._sock, READ_SIZE_BYTES):
                 if not self._state.is_established:
                     self._reject_early_data()
                     return
@@ -233,8 +232,6 @@
             was_reset = not isinstance(error, BrokenPipeError)
             self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=was_reset, why=str(error)))
             return
-        finally:
-            reader.stop()
         if not self._state.has_ended:  # the client ended in the middle of a line, and was not sent away
             await self._send_to_server(self._client_lines.take_held())
         self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, why="ended by the client"))
--- a/stoatgw/clients/request_reader.py
+++ b/stoatgw/clients/request_reader.py
@@ -16,6 +16,7 @@
     parse_session_request,
 )
 from stoatgw.line_protocol.splitter import MAX_LINE_BYTES, LineSplitter
+from stoatgw.sockets import tcp
 
 REQUEST_TIMEOUT_S = 2.0  # from accepting to a complete request, however its bytes trickle in and whatever PINGs come
 MAX_WAIT_MS = 3_600_000  # no client waits an hour for UP
@@ -28,7 +29,7 @@
         is_expired: Its time is up, or its descriptor is needed: the wait for a request has ended.
     """
 
-    __slots__ = ("_context", "_has_received", "_is_answering_ping", "_sock", "_splitter", "_wake_up", "is_expired")
+    __slots__ = ("_context", "_has_received", "_is_answering_ping", "_ready", "_sock", "_splitter", "is_expired")
 
     def __init__(self, sock: socket.socket, context: ProxyContext) -> None:
         self._sock = sock
@@ -37,7 +38,7 @@
         self._has_received = False
         self.is_expired = False
         self._is_answering_ping = False
-        self._wake_up = asyncio.Event()  # there is something to read, or the time is up
+        self._ready: asyncio.Future[None] | None = None  # there is something to read, or the time is up
 
     @property
     def holds_partial_request(self) -> bool:
@@ -63,29 +64,23 @@
         Reading is not shut down: what crosses the last line could then not be read, and would turn it into a reset.
         """
         self.is_expired = True
-        self._wake_up.set()
+        if self._ready is not None and not self._ready.done():
+            self._ready.set_result(None)
         if self._is_answering_ping:  # and the client does not read the answers
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
     async def read_request(self) -> SessionRequest | MalformedRequest | None:
         """Reads the request; None if the client leaves or sends nothing. Raises OSError."""
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(REQUEST_TIMEOUT_S, self.expire)
-        loop.add_reader(self._sock, self._wake_up.set)
+        timer = asyncio.get_running_loop().call_later(REQUEST_TIMEOUT_S, self.expire)
         try:
             return await self._read_until_complete()
         finally:
             timer.cancel()
-            loop.remove_reader(self._sock)
 
     async def _read_until_complete(self) -> SessionRequest | MalformedRequest | None:
         while True:
-            await self._wake_up.wait()
-            self._wake_up.clear()
-            data: bytes | None = None
-            with contextlib.suppress(BlockingIOError):
-                data = self._sock.recv(MAX_LINE_BYTES)
+            data = await self._receive()
             request = await self._receive_data(data) if data else None
             if request is not None:
                 return request
@@ -95,6 +90,21 @@
             if self.is_expired or data == b"":
                 return None
 
+    async def _receive(self) -> bytes | None:
+        """Waits for bytes, or for the end of the time; None if nothing has come. Raises OSError."""
+        try:
+            if not self.is_expired:
+                self._ready = asyncio.get_running_loop().create_future()
+                await tcp.wait_readable(self._sock, self._ready)
+            return self._sock.recv(MAX_LINE_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return None
+        except OSError as error:
+            if error.errno not in tcp.TRANSIENT_ERRNOS:
+                raise
+            await asyncio.sleep(tcp.TRANSIENT_RETRY_INTERVAL_S)
+            return None
+
     async def _receive_data(self, data: bytes) -> SessionRequest | MalformedRequest | None:
         self._has_received = True
         lines = self._splitter.receive_data(data)
@@ -109,7 +119,7 @@
         self._context.counters.add("pings")
         self._is_answering_ping = True
         answer = PONG + b"\r\n" if self._context.is_ready else encode_busy(0)
-        await asyncio.get_running_loop().sock_sendall(self._sock, answer)
+        await tcp.send_all(self._sock, answer)
         self._is_answering_ping = False
 
     def _parse_request(self, lines: list[bytes]) -> SessionRequest | MalformedRequest:
--- a/stoatgw/clients/session_end.py
+++ b/stoatgw/clients/session_end.py
@@ -70,7 +70,7 @@
     async def send_last_line(self, last_line: bytes) -> None:
         """Sends a last line and shuts down sending; the client is still read. Raises OSError."""
         await tcp.send_all(self._sock, last_line)
-        self._sock.shutdown(socket.SHUT_WR)
+        tcp.shut_down_sending(self._sock)
 
     async def close_both(self, end: SessionEnd) -> None:
         """Closes the client's connection, and that of its server, once no task of the session uses them."""
--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -7,17 +7,23 @@
 import errno
 import socket
 import struct
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any, TypeVar
 
 ACCEPT_RETRY_INTERVAL_S = 0.02  # after a failed accept, such as one for want of descriptors
 # For want of the kernel's memory a call fails on a connection that is sound: it is repeated for a second.
 TRANSIENT_ERRNOS = (errno.ENOBUFS, errno.ENOMEM)
 TRANSIENT_RETRY_INTERVAL_S = 0.02
 MAX_TRANSIENT_RETRIES = 50
+MOMENTARY_ERRNOS = (errno.EINTR, errno.EAGAIN, *TRANSIENT_ERRNOS)
+MAX_IMMEDIATE_RETRIES = 3  # of a call that cannot be waited for
 MAX_DISCARDED_BYTES = 1024 * 1024  # read and thrown away at a connection's end
 _DISCARD_BUFFER = bytearray(65536)  # shared by all: nobody looks at what is in it
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
+Argument = TypeVar("Argument")
+Result = TypeVar("Result")
+
 
 def create_socket() -> socket.socket:
     """Create a non-blocking socket for connecting. Raises OSError."""
@@ -51,35 +57,54 @@
     return sock
 
 
-def _set_ready(ready: asyncio.Future[None]) -> None:
-    if not ready.done():
-        ready.set_result(None)
-
+async def wait_readable(sock: socket.socket, ready: asyncio.Future[None] | None = None) -> None:
+    """Wait until there is something to read or to accept; nothing is consumed. Raises OSError if it cannot be watched.
 
-async def wait_readable(sock: socket.socket) -> None:
-    """Wait until there is something to read or to accept; nothing is consumed.
+    The loop's own sock_accept would lose what it had accepted if it were cancelled in the same iteration.
 
-    The loop's own sock_accept would lose what it had accepted if it were cancelled in the same iteration. The loop is
-    given the socket, not its descriptor: uvloop then keeps it open until the wait has ended, as closing a descriptor
-    that the loop polls ends the process.
+    Args:
+        sock: The socket.
+        ready: What is waited for, for a caller that ends the wait by setting it.
     """
     loop = asyncio.get_running_loop()
-    ready = loop.create_future()
-    loop.add_reader(sock, _set_ready, ready)
-    try:
-        await ready
-    finally:
-        loop.remove_reader(sock)
+    await _watch_once(sock, loop.add_reader, loop.remove_reader, ready or loop.create_future())
 
 
 async def _wait_writable(sock: socket.socket) -> None:
     loop = asyncio.get_running_loop()
-    ready = loop.create_future()
-    loop.add_writer(sock, _set_ready, ready)
+    await _watch_once(sock, loop.add_writer, loop.remove_writer, loop.create_future())
+
+
+async def _watch_once(
+    sock: socket.socket,
+    add: Callable[[socket.socket, Callable[[], None]], None],
+    remove: Callable[[socket.socket], Any],
+    ready: asyncio.Future[None],
+) -> None:
+    """Have the loop watch a socket until its next event; no watch outlives an event.
+
+    When a connection breaks, uvloop tells its watches once and drops them, without a word: what came with the break,
+    or a call that fails for a moment just then, would be the last that a lasting watch is told of. Its entry for the
+    socket is of no use until a watch is removed, which therefore happens in the very step that tells of the event.
+
+    The loop is given the socket, not its descriptor: uvloop then keeps it open until the watch is removed, as closing
+    a descriptor that the loop polls ends the process.
+    """
+    is_watched = True
+
+    def on_event() -> None:
+        nonlocal is_watched
+        is_watched = False
+        remove(sock)
+        if not ready.done():
+            ready.set_result(None)
+
+    add(sock, on_event)
     try:
         await ready
     finally:
-        loop.remove_writer(sock)
+        if is_watched:
+            remove(sock)
 
 
 class _TransientErrors:
@@ -96,54 +121,31 @@
         await asyncio.sleep(TRANSIENT_RETRY_INTERVAL_S)
 
 
-class SocketReader:
-    """Reads a connection, one task at a time, and watches it between two reads.
+def receive(sock: socket.socket, max_bytes: int) -> Awaitable[bytes]:
+    """Wait for bytes and return them; b"" at the end of the stream. Raises OSError when awaited.
 
     The loop's own sock_recv reads in one iteration and returns in the next: cancelled between the two, it loses what
-    it has read. A task that is cancelled in here has read nothing. And sock_recv asks the kernel anew to watch the
-    socket for each read: this asks once, and again only after the task was too busy to read.
+    it has read. A task that is cancelled in here has read nothing.
     """
+    return _call_when_readable(sock, sock.recv, max_bytes)
+
+
+def receive_into(sock: socket.socket, buffer: bytearray) -> Awaitable[int]:
+    """Wait for bytes, put them into the buffer and return their count, as `receive` does."""
+    return _call_when_readable(sock, sock.recv_into, buffer)
 
-    __slots__ = ("_is_watching", "_ready", "_sock")
-
-    def __init__(self, sock: socket.socket) -> None:
-        """Prepare to read; whoever reads calls `stop` before the socket is read by others or closed."""
-        self._sock = sock
-        self._is_watching = False
-        self._ready: asyncio.Future[None] | None = None  # while a task waits
-
-    async def receive(self, max_bytes: int) -> bytes:
-        """Wait for bytes and return them; b"" at the end of the stream. Raises OSError."""
-        loop = asyncio.get_running_loop()
-        failures: _TransientErrors | None = None
-        while True:
-            self._ready = loop.create_future()
-            if not self._is_watching:
-                loop.add_reader(self._sock, self._on_readable)
-                self._is_watching = True
-            try:
-                await self._ready
-            finally:
-                self._ready = None
-            try:
-                return self._sock.recv(max_bytes)
-            except (BlockingIOError, InterruptedError):
-                continue
-            except OSError as error:
-                failures = failures or _TransientErrors()
-                await failures.wait(error)
-
-    def _on_readable(self) -> None:
-        if self._ready is None:
-            self.stop()  # nobody reads now: without this the loop would spin
-        elif not self._ready.done():
-            self._ready.set_result(None)
-
-    def stop(self) -> None:
-        """Watch the socket no more, until the next read."""
-        if self._is_watching:
-            self._is_watching = False
-            asyncio.get_running_loop().remove_reader(self._sock)
+
+async def _call_when_readable(sock: socket.socket, read: Callable[[Argument], Result], argument: Argument) -> Result:
+    failures: _TransientErrors | None = None
+    while True:
+        try:
+            await wait_readable(sock)
+            return read(argument)
+        except (BlockingIOError, InterruptedError):
+            continue
+        except OSError as error:
+            failures = failures or _TransientErrors()
+            await failures.wait(error)
 
 
 async def send_all(sock: socket.socket, data: bytes) -> None:
@@ -156,17 +158,22 @@
     failures: _TransientErrors | None = None
     while True:
         try:
-            count = sock.send(unsent)
-        except (BlockingIOError, InterruptedError):
-            count = 0
+            count = _send_nowait(sock, unsent)
+            if count == len(unsent):
+                return
+            unsent = memoryview(unsent)[count:]
+            await _wait_writable(sock)
         except OSError as error:
             failures = failures or _TransientErrors()
             await failures.wait(error)
-            continue
-        if count == len(unsent):
-            return
-        unsent = memoryview(unsent)[count:]
-        await _wait_writable(sock)
+
+
+def _send_nowait(sock: socket.socket, data: bytes | memoryview) -> int:
+    """Send what can be sent now; return the count of bytes. Raises OSError."""
+    try:
+        return sock.send(data)
+    except (BlockingIOError, InterruptedError):
+        return 0
 
 
 async def accept(listener: socket.socket) -> socket.socket:
@@ -186,6 +193,18 @@
     return sock
 
 
+def shut_down_sending(sock: socket.socket) -> None:
+    """Tell the peer that nothing more comes; it may still send. Raises OSError, for a connection that is broken."""
+    for _ in range(MAX_IMMEDIATE_RETRIES):
+        try:
+            sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            if error.errno not in MOMENTARY_ERRNOS:
+                raise
+        else:
+            return
+
+
 def close(sock: socket.socket, *, reset: bool = False) -> None:
     """Close at once, with FIN or, if asked, with RST. Never raises."""
     with contextlib.suppress(OSError):
@@ -203,14 +222,13 @@
     A plain close over unread bytes would reset the connection, which could take the line with it. But a peer
     that sends without end gets only so many bytes and so much time.
     """
-    loop = asyncio.get_running_loop()
     remaining_bytes = max_discarded_bytes
     try:
         async with asyncio.timeout(timeout_s):
             if last_line:
-                await loop.sock_sendall(sock, last_line)
-            sock.shutdown(socket.SHUT_WR)
-            while remaining_bytes > 0 and (count := await loop.sock_recv_into(sock, _DISCARD_BUFFER)):
+                await send_all(sock, last_line)
+            shut_down_sending(sock)
+            while remaining_bytes > 0 and (count := await receive_into(sock, _DISCARD_BUFFER)):
                 remaining_bytes -= count
     except (OSError, TimeoutError):
         pass
--- a/tests/test_log_reasons.py
+++ b/tests/test_log_reasons.py
@@ -124,14 +124,14 @@
 
     async def test(proxy: LoopbackProxy) -> None:
         may_read = asyncio.Event()
-        receive = tcp.SocketReader.receive
+        receive = tcp.receive
 
-        async def receive_late(self: tcp.SocketReader, max_bytes: int) -> bytes:
-            data = await receive(self, max_bytes)
+        async def receive_late(sock: socket.socket, max_bytes: int) -> bytes:
+            data = await receive(sock, max_bytes)
             await may_read.wait()
             return data
 
-        monkeypatch.setattr(tcp.SocketReader, "receive", receive_late)
+        monkeypatch.setattr(tcp, "receive", receive_late)
         may_read.set()
         detector = UnreadEndDetector(proxy.context)
         async with established_session(proxy) as writer:
--- a/tests/test_peer_ends.py
+++ b/tests/test_peer_ends.py
@@ -18,6 +18,8 @@
 import asyncio
 from pathlib import Path
 
+import pytest
+
 from tests.peer_ends import PeerEndRig
 
 SERVER_NAMES = [f"s-{number}" for number in range(8)]
@@ -40,5 +42,7 @@
     assert play(tmp_path, "none") == []
 
 
-def test_an_end_is_passed_on_though_reading_it_fails_once(tmp_path: Path) -> None:
-    assert play(tmp_path, "recv:EAGAIN") == []
+@pytest.mark.parametrize("error", ["EINTR", "EAGAIN", "ENOBUFS", "ENOMEM"])
+@pytest.mark.parametrize("call", ["recv", "send", "shutdown"])
+def test_an_end_is_passed_on_though_a_call_fails_once(call: str, error: str, tmp_path: Path) -> None:
+    assert play(tmp_path, f"{call}:{error}") == []
--- a/tests/test_session_crossings.py
+++ b/tests/test_session_crossings.py
@@ -54,6 +54,10 @@
     assert given + aligner.take_held() == data
 
 
+async def _receive(sock: socket.socket) -> bytes:
+    return await tcp.receive(sock, 100)
+
+
 def test_a_read_that_is_cancelled_as_data_arrives_has_read_nothing() -> None:
     """The cancellation comes in the iteration in which the data does, behind it, before the task has run again."""
 
@@ -64,7 +68,7 @@
         with ours, theirs, trigger, pull:
             ours.setblocking(False)
             trigger.setblocking(False)
-            reading = asyncio.create_task(tcp.SocketReader(ours).receive(100))
+            reading = asyncio.create_task(_receive(ours))
             loop.add_reader(trigger, reading.cancel)
             await asyncio.sleep(0.01)
             theirs.send(b"line\r\n")
@@ -104,7 +108,7 @@
             left.setblocking(False)
             right.setblocking(False)
             await tcp.send_all(left, b"line\r\n")
-            assert await tcp.SocketReader(right).receive(100) == b"line\r\n"
+            assert await tcp.receive(right, 100) == b"line\r\n"
             left.failures_left = tcp.MAX_TRANSIENT_RETRIES + 1
             with pytest.raises(OSError, match="buffer space"):
                 await tcp.send_all(left, b"line\r\n")
@@ -605,7 +609,7 @@
 
 def test_up_that_arrives_as_its_wait_times_out_is_passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(proxy: LoopbackProxy) -> None:
-        async def time_out(self: Attempt, _reader: tcp.SocketReader) -> AttemptEnd | None:
+        async def time_out(self: Attempt, _sock: socket.socket) -> AttemptEnd | None:
             assert self._sock is not None
             await tcp.wait_readable(self._sock)  # UP is there
             raise TimeoutError
