Same mistake elsewhere: every read and write of a socket survives a call that fails for a moment

Need: the loop's own sock_recv, sock_recv_into and sock_sendall wait for good where a connection breaks and the call fails for a moment just then (EINTR, EAGAIN): in the watch of the list, the coordination engine's calls, operators' calls and health checks this was bounded by their timeouts only. A client that resets its connection while its server takes nothing was noticed by nobody, as it is not read. Change: those places use sockets/tcp.py; setsockopt and shutdown are repeated at once; the session monitor asks, each 0.25 s, whether the client of a session that waits for its server has reset its connection. MigratingRelay, which no longer only migrates, is MonitoredRelay.

--- a/stoatgw/backends/health_check.py
+++ b/stoatgw/backends/health_check.py
@@ -162,12 +162,11 @@
 
 async def _request_report(sock: socket.socket) -> Reply:
     """Send STATS and return the reply. Raises OSError, also for a reply that is not a line."""
-    loop = asyncio.get_running_loop()
     splitter = LineSplitter()
     buffer = bytearray(READ_SIZE_BYTES)
-    await loop.sock_sendall(sock, STATS + b"\r\n")
+    await tcp.send_all(sock, STATS + b"\r\n")
     while True:
-        count = await loop.sock_recv_into(sock, buffer)
+        count = await tcp.receive_into(sock, buffer)
         if not count:
             raise ConnectionError("ended without a word")
         lines = splitter.receive_data(memoryview(buffer)[:count])
--- a/stoatgw/clients/context.py
+++ b/stoatgw/clients/context.py
@@ -47,13 +47,17 @@
     is_blocked: bool
 
 
-class MigratingRelay(Protocol):
-    """Sends the client of an established session away, for those who have no business with the controller."""
+class MonitoredRelay(Protocol):
+    """The relay of an established session, for those who have no business with the controller."""
 
     def peers(self) -> Iterator[Peer]:
         """Gives the open connections of the session."""
         ...
 
+    def end_if_blocked_client_broke(self) -> None:
+        """Ends the session of a client that has reset its connection while its server takes nothing."""
+        ...
+
     def abandon_server(self) -> None:
         """Migrates the session, as its server is taken to be unresponsive."""
         ...
@@ -72,14 +76,14 @@
         server: The server that it is connected to.
         latency: The times of its messages.
         session_state: Whether its client takes what it is sent, among others.
-        relay: Migrates it.
+        relay: Migrates or ends it.
     """
 
     state: RequestState
     server: str
     latency: MessageLatencyTracker
     session_state: SessionState
-    relay: MigratingRelay
+    relay: MonitoredRelay
 
 
 @dataclass(slots=True, eq=False)
--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -185,6 +185,15 @@
         was_reset = not isinstance(error, BrokenPipeError)
         self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=was_reset, why=str(error)))
 
+    def end_if_blocked_client_broke(self) -> None:
+        """Ends the session of a client that has reset its connection while its server takes nothing.
+
+        The client is not read meanwhile, and the loop cannot watch a socket with unread bytes for a reset alone.
+        """
+        if self._is_sending_to_server and not self._state.has_ended and tcp.is_broken(self._sock):
+            why = "reset by the client, while its server takes nothing"
+            self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=True, why=why))
+
     def peers(self) -> Iterator[Peer]:
         """Gives the open connections of the session."""
         yield Peer(PeerSide.CLIENT, self._sock.fileno(), is_blocked=self._is_sending_to_server)
--- a/stoatgw/clients/session_monitor.py
+++ b/stoatgw/clients/session_monitor.py
@@ -21,7 +21,7 @@
 class SessionMonitor:
     """Reports the message latency of servers to the controller, and abandons servers that answer nothing.
 
-    Logs ends of connections that nobody reads, besides.
+    Sees to the ends of connections, too, that no read can tell of, and logs those that nobody reads.
     """
 
     def __init__(self, context: ProxyContext) -> None:
@@ -50,6 +50,7 @@
         """Abandons the servers of sessions with a line that is unanswered for too long; may report latencies."""
         now_us = self._context.clock.now_us()
         for session in list(self._context.established_sessions.values()):
+            session.relay.end_if_blocked_client_broke()
             if session.session_state.is_sending:
                 # The client takes nothing, so its server is not read: what it has answered by now is not known.
                 session.latency.pending.clear()
--- a/stoatgw/discovery/watch_call.py
+++ b/stoatgw/discovery/watch_call.py
@@ -64,10 +64,10 @@
         with tcp.open_socket() as sock:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await loop.sock_connect(sock, (address.host, address.port))
-                await loop.sock_sendall(sock, _encode_request(address, after_version))
+                await tcp.send_all(sock, _encode_request(address, after_version))
             self.state = WatchState.REQUESTED
             while not parser.is_complete:
-                count = await loop.sock_recv_into(sock, buffer)
+                count = await tcp.receive_into(sock, buffer)
                 if not count:
                     return
                 for item in parser.receive_data(bytes(memoryview(buffer)[:count])):
--- a/stoatgw/management/listener.py
+++ b/stoatgw/management/listener.py
@@ -122,10 +122,9 @@
 
 async def _receive_request(connection: socket.socket) -> HttpRequest | HttpResponse | None:
     """The connection's request, or the response to what is none; None where it was closed before."""
-    loop = asyncio.get_running_loop()
     parser = HttpRequestParser()
     while True:
-        data = await loop.sock_recv(connection, RECEIVE_BUFFER_BYTES)
+        data = await tcp.receive(connection, RECEIVE_BUFFER_BYTES)
         if not data:
             return None
         received = parser.feed(data)
--- a/stoatgw/membership/client.py
+++ b/stoatgw/membership/client.py
@@ -79,9 +79,9 @@
             async with asyncio.timeout(self._call_timeout_s / (len(self._endpoints) + 1)):
                 await loop.sock_connect(sock, (address.host, address.port))
             is_sent = True
-            await loop.sock_sendall(sock, _format_head(address, path, len(body)) + body)
+            await tcp.send_all(sock, _format_head(address, path, len(body)) + body)
             response = _ResponseReader()
-            while not response.is_complete and (data := await loop.sock_recv(sock, RECEIVE_BYTES)):
+            while not response.is_complete and (data := await tcp.receive(sock, RECEIVE_BYTES)):
                 response.feed(data)
             return _parse_response(response)
         except TimeoutError:
--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import errno
+import select
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Iterator
@@ -29,7 +30,7 @@
     """Create a non-blocking socket for connecting. Raises OSError."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    _call_at_once(sock.setsockopt, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
@@ -47,7 +48,7 @@
     """Create a listening socket. Raises OSError."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _call_at_once(sock.setsockopt, socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind(address)
         sock.listen(backlog)
@@ -189,17 +190,29 @@
     sock, _ = listener.accept()
     sock.setblocking(False)
     with contextlib.suppress(OSError):  # the peer has gone already, as the first read will show
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _call_at_once(sock.setsockopt, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
 def shut_down_sending(sock: socket.socket) -> None:
     """Tell the peer that nothing more comes; it may still send. Raises OSError, for a connection that is broken."""
-    for _ in range(MAX_IMMEDIATE_RETRIES):
+    _call_at_once(sock.shutdown, socket.SHUT_WR)
+
+
+def is_broken(sock: socket.socket) -> bool:
+    """Whether a connection was reset, or broke: known without reading what came before."""
+    poll = select.poll()
+    poll.register(sock, 0)
+    return any(events & (select.POLLERR | select.POLLHUP) for _, events in poll.poll(0))
+
+
+def _call_at_once(call: Callable[..., None], *arguments: Any) -> None:
+    """Repeat, at once, a call that fails for a moment and that nobody can wait for. Raises OSError."""
+    for retries_left in reversed(range(MAX_IMMEDIATE_RETRIES)):
         try:
-            sock.shutdown(socket.SHUT_WR)
+            call(*arguments)
         except OSError as error:
-            if error.errno not in MOMENTARY_ERRNOS:
+            if error.errno not in MOMENTARY_ERRNOS or not retries_left:
                 raise
         else:
             return
@@ -209,7 +222,7 @@
     """Close at once, with FIN or, if asked, with RST. Never raises."""
     with contextlib.suppress(OSError):
         if reset:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+            _call_at_once(sock.setsockopt, socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
     with contextlib.suppress(OSError):
         sock.close()
 
--- a/tests/failing_calls.py
+++ b/tests/failing_calls.py
@@ -1,7 +1,8 @@
 """Runs the real proxy with socket calls that fail once: `python -m tests.failing_calls recv:EAGAIN`.
 
 `recv` fails once on each connection, as the end of its peer has come and is not read yet; `send` fails once, at the
-second call on each connection; `shutdown` fails once, at the first.
+second call on each connection; `shutdown`, `setsockopt` and `accept` fail once, at the first call on each socket; of
+all calls of `connect`, every second one fails.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 
     failing_call = ""
     error_number = 0
+    connects = 0  # of all sockets
     _has_failed = False
     _sends = 0
 
@@ -55,6 +57,20 @@
         self._fail_once("shutdown")
         super().shutdown(how)
 
+    def setsockopt(self, *args: Any) -> None:
+        self._fail_once("setsockopt")
+        super().setsockopt(*args)
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        self._fail_once("accept")
+        return super().accept()
+
+    def connect(self, address: Any) -> None:
+        FailingSocket.connects += 1
+        if FailingSocket.connects % 2:
+            self._fail_once("connect")
+        super().connect(address)
+
 
 def main() -> int:
     """Runs the proxy; returns its exit status."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -484,7 +484,9 @@
 
     async def test(proxy: LoopbackProxy) -> None:
         abandoned: list[int] = []
-        relay: Any = SimpleNamespace(abandon_server=lambda: abandoned.append(1))
+        relay: Any = SimpleNamespace(
+            abandon_server=lambda: abandoned.append(1), end_if_blocked_client_broke=lambda: None
+        )
         for silent_us in (0, 1_999_999):
             messages = MessageLatencyTracker()
             start_us = proxy.clock.now_us()
