Connecting survives a call that fails for a moment; no part of a loopback run gets another's port

Need: a connect that failed once with EINTR, EAGAIN, ENOBUFS or ENOMEM ejected a sound session server for a second; the loop even takes the first two for success. And one run of the suite failed: a maintenance run was without its first proxy. Change: tcp.connect repeats a call that fails for a moment, within the time to connect; the rig hands no port out twice. Result: tests/test_socket_watches.py: the four connect cases fail without the change; 1,000 ports of one run all differ.

--- a/stoatgw/backends/attempt.py
+++ b/stoatgw/backends/attempt.py
@@ -124,7 +124,7 @@
         try:
             timeout_us = min(self._connect_timeout_us, deadline_us - self._clock.now_us())
             async with asyncio.timeout(timeout_us / 1e6) as timeout:
-                await asyncio.get_running_loop().sock_connect(self._sock, self._backend.address)
+                await tcp.connect(self._sock, self._backend.address)
                 now_us = self._clock.now_us()
                 obstacle = self._find_obstacle(now_us, deadline_us, send_before_us)
                 if obstacle:
--- a/stoatgw/backends/health_check.py
+++ b/stoatgw/backends/health_check.py
@@ -137,7 +137,7 @@
     async def _request_on_new(self, check: _Check) -> Reply:
         check.sock = tcp.create_socket()
         async with asyncio.timeout(self._connect_timeout_s):
-            await asyncio.get_running_loop().sock_connect(check.sock, check.backend.address)
+            await tcp.connect(check.sock, check.backend.address)
         check.status = AttemptStatus.DROPPED
         return await _request_report(check.sock)
 
--- a/stoatgw/discovery/watch_call.py
+++ b/stoatgw/discovery/watch_call.py
@@ -58,12 +58,11 @@
             OSError: The connection failed, or was not established in time.
             HttpError: The response is not the one asked for.
         """
-        loop = asyncio.get_running_loop()
         parser = JsonStreamParser()
         buffer = bytearray(READ_SIZE_BYTES)
         with tcp.open_socket() as sock:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.sock_connect(sock, (address.host, address.port))
+                await tcp.connect(sock, (address.host, address.port))
                 await tcp.send_all(sock, _encode_request(address, after_version))
             self.state = WatchState.REQUESTED
             while not parser.is_complete:
--- a/stoatgw/emulator/loopback/maintenance/addresses.py
+++ b/stoatgw/emulator/loopback/maintenance/addresses.py
@@ -7,6 +7,9 @@
 import socket
 
 _runs = itertools.count()
+_given: set[tuple[str, int]] = (
+    set()
+)  # addresses that were handed out: the system may name a port again once it is closed
 
 
 def unique_host() -> str:
@@ -15,8 +18,11 @@
 
 
 def free_port(host: str) -> int:
-    """A port that is free at an address now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """A port that is free at an address now, and that this process was not given before."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            port: int = sock.getsockname()[1]
+        if (host, port) not in _given:
+            _given.add((host, port))
+            return port
--- a/stoatgw/membership/client.py
+++ b/stoatgw/membership/client.py
@@ -71,13 +71,12 @@
     async def _call_endpoint(
         self, address: Address, path: str, body: bytes, deadline: asyncio.Timeout
     ) -> Body | CallFailure:
-        loop = asyncio.get_running_loop()
         sock = tcp.create_socket()
         is_sent = False
         try:
             # An endpoint behind a broken link does not answer at all: it may not use up the time of the others.
             async with asyncio.timeout(self._call_timeout_s / (len(self._endpoints) + 1)):
-                await loop.sock_connect(sock, (address.host, address.port))
+                await tcp.connect(sock, (address.host, address.port))
             is_sent = True
             await tcp.send_all(sock, _format_head(address, path, len(body)) + body)
             response = _ResponseReader()
--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -5,10 +5,11 @@
 import asyncio
 import contextlib
 import errno
+import os
 import select
 import socket
 import struct
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Collection, Iterator
 from typing import Any, TypeVar
 
 ACCEPT_RETRY_INTERVAL_S = 0.02  # after a failed accept, such as one for want of descriptors
@@ -17,6 +18,7 @@
 TRANSIENT_RETRY_INTERVAL_S = 0.02
 MAX_TRANSIENT_RETRIES = 50
 MOMENTARY_ERRNOS = (errno.EINTR, errno.EAGAIN, *TRANSIENT_ERRNOS)
+CONNECT_TRANSIENT_ERRNOS = (errno.EAGAIN, *TRANSIENT_ERRNOS)
 MAX_IMMEDIATE_RETRIES = 3  # of a call that cannot be waited for
 MAX_DISCARDED_BYTES = 1024 * 1024  # read and thrown away at a connection's end
 _DISCARD_BUFFER = bytearray(65536)  # shared by all: nobody looks at what is in it
@@ -109,19 +111,46 @@
 
 
 class _TransientErrors:
-    """How often a call on a sound connection may fail for want of the kernel's memory before its error counts."""
+    """How often a call on a sound connection may fail for a moment before its error counts."""
 
-    def __init__(self) -> None:
+    def __init__(self, errnos: Collection[int] = TRANSIENT_ERRNOS) -> None:
+        self._errnos = errnos
         self._retries_left = MAX_TRANSIENT_RETRIES
 
     async def wait(self, error: OSError) -> None:
         """Wait before the call is repeated. Raises the error if it is of another kind, or came too often."""
-        if error.errno not in TRANSIENT_ERRNOS or not self._retries_left:
+        if error.errno not in self._errnos or not self._retries_left:
             raise error
         self._retries_left -= 1
         await asyncio.sleep(TRANSIENT_RETRY_INTERVAL_S)
 
 
+async def connect(sock: socket.socket, address: tuple[str | bytes, int]) -> None:
+    """Connect, and again where the call failed for a moment: that says nothing about the peer. Raises OSError."""
+    failures: _TransientErrors | None = None
+    while True:
+        try:
+            await _connect_once(sock, address)
+        except OSError as error:
+            failures = failures or _TransientErrors(CONNECT_TRANSIENT_ERRNOS)
+            await failures.wait(error)
+        else:
+            return
+
+
+async def _connect_once(sock: socket.socket, address: tuple[str | bytes, int]) -> None:
+    """Connect. Raises OSError.
+
+    The loop takes a call that failed with EINTR or EAGAIN to be in progress, and an unconnected socket to be connected.
+    """
+    await asyncio.get_running_loop().sock_connect(sock, address)
+    try:
+        sock.getpeername()
+    except OSError:
+        error_number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or errno.EAGAIN  # or a reset has come since
+        raise OSError(error_number, os.strerror(error_number)) from None
+
+
 def receive(sock: socket.socket, max_bytes: int) -> Awaitable[bytes]:
     """Wait for bytes and return them; b"" at the end of the stream. Raises OSError when awaited.
 
--- a/tests/test_maintenance_run.py
+++ b/tests/test_maintenance_run.py
@@ -13,6 +13,7 @@
 from msgspec.structs import replace
 
 from stoatgw.config.maintenance import MaintenancePlan
+from stoatgw.emulator.loopback.maintenance.addresses import free_port, unique_host
 from stoatgw.emulator.loopback.maintenance.run import MaintenanceRun
 from stoatgw.maintenance.keys import StoreSnapshot
 from stoatgw.maintenance.rollout_state import StepState
@@ -32,6 +33,13 @@
 )
 
 
+def test_no_part_of_a_run_is_given_the_port_of_another() -> None:
+    """A proxy whose port is taken ends as it starts, and its run goes on without it."""
+    host = unique_host()
+    ports = [free_port(host) for _ in range(1000)]
+    assert len(set(ports)) == len(ports)
+
+
 def is_notified(snapshot: StoreSnapshot) -> bool:
     """A step is under way, and all proxies know of it."""
     rollout = snapshot.rollout
--- a/tests/test_socket_watches.py
+++ b/tests/test_socket_watches.py
@@ -173,7 +173,7 @@
 
 
 @pytest.mark.parametrize("error", MOMENTARY)
-@pytest.mark.parametrize("call", ["accept", "setsockopt"])
+@pytest.mark.parametrize("call", ["accept", "connect", "setsockopt"])
 def test_clients_are_served_though_a_call_of_the_start_fails_once(
     call: str, error: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -193,6 +193,23 @@
     run_loopback(serve_echo, test)
 
 
+def test_a_server_that_resets_as_it_accepts_is_not_connected_to_again() -> None:
+    async def test() -> None:
+        with listening() as listener:
+            with tcp.open_socket() as sock:
+                connecting = asyncio.create_task(tcp.connect(sock, listener.getsockname()))
+                peer, _ = await asyncio.get_running_loop().sock_accept(listener)
+                tcp.close(peer, reset=True)
+                with contextlib.suppress(ConnectionResetError):  # if it comes before the task has run
+                    await connecting
+            listener.setblocking(False)
+            await asyncio.sleep(0.05)
+            with pytest.raises(BlockingIOError):
+                listener.accept()
+
+    run(test)
+
+
 @pytest.mark.parametrize("error", ["ENOMEM", "ENOBUFS"])
 def test_a_socket_that_cannot_be_watched_for_a_moment_is_watched_later(
     error: str, monkeypatch: pytest.MonkeyPatch
