--- a/tests/failing_calls.py
+++ b/tests/failing_calls.py
@@ -2,13 +2,14 @@
 
 `recv` fails once on each connection, as the end of its peer has come and is not read yet; `send` fails once, at the
 second call on each connection; `shutdown`, `setsockopt` and `accept` fail once, at the first call on each socket; of
-all calls of `connect`, every second one fails.
+all calls of `connect`, every second one fails. `any:SEED` has each of these fail now and then, with drawn errors.
 """
 
 from __future__ import annotations
 
 import errno
 import os
+import random
 import select
 import socket
 import sys
@@ -16,6 +17,8 @@
 
 END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 SENDS_BEFORE_FAILURE = 1
+DRAWN_FAILURE_RATE = 0.02
+DRAWN_ERRNOS = (errno.EINTR, errno.EAGAIN, errno.ENOBUFS, errno.ENOMEM)
 
 
 class FailingSocket(socket.socket):
@@ -23,11 +26,17 @@
 
     failing_call = ""
     error_number = 0
+    draws: random.Random | None = None  # of any call, in place of one
     connects = 0  # of all sockets
     _has_failed = False
     _sends = 0
 
     def _fail_once(self, call: str) -> None:
+        if self.family != socket.AF_INET:
+            return  # the event loop's own
+        if self.draws is not None and self.draws.random() < DRAWN_FAILURE_RATE:
+            number = self.draws.choice(DRAWN_ERRNOS)
+            raise OSError(number, os.strerror(number))
         if call == self.failing_call and not self._has_failed:
             self._has_failed = True
             raise OSError(self.error_number, os.strerror(self.error_number))
@@ -38,12 +47,12 @@
         return any(events & END_EVENTS for _, events in poll.poll(0))
 
     def recv(self, size: int, flags: int = 0) -> bytes:
-        if not flags and self._has_ended():
+        if not flags and (self.draws is not None or self._has_ended()):
             self._fail_once("recv")
         return super().recv(size, flags)
 
     def recv_into(self, *args: Any) -> int:
-        if self._has_ended():
+        if self.draws is not None or self._has_ended():
             self._fail_once("recv")
         return super().recv_into(*args)
 
@@ -74,9 +83,12 @@
 
 def main() -> int:
     """Runs the proxy; returns its exit status."""
-    call, _, error_name = sys.argv[1].partition(":")
-    FailingSocket.failing_call = call
-    FailingSocket.error_number = getattr(errno, error_name) if error_name else 0
+    call, _, argument = sys.argv[1].partition(":")
+    if call == "any":
+        FailingSocket.draws = random.Random(argument)
+    else:
+        FailingSocket.failing_call = call
+        FailingSocket.error_number = getattr(errno, argument) if argument else 0
     socket.socket = FailingSocket  # type: ignore[misc]
     from stoatgw.service import main as serve
 
