--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import struct
+from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Collection, Iterator
 from typing import Any, TypeVar
 
@@ -60,54 +61,82 @@
     return sock
 
 
-async def wait_readable(sock: socket.socket, ready: asyncio.Future[None] | None = None) -> None:
-    """Wait until there is something to read or to accept; nothing is consumed. Raises OSError if it cannot be watched.
+class _Watch(ABC):
+    """Has the loop watch a socket until its next event, within `with`; no watch outlives an event.
 
-    The loop's own sock_accept would lose what it had accepted if it were cancelled in the same iteration.
+    When a connection breaks, uvloop tells its watches once and drops them, without a word: what came with the break,
+    or a call that fails for a moment just then, would be the last that a lasting watch is told of. Its entry for the
+    socket is of no use until a watch is removed, which therefore happens in the very step that tells of the event.
 
-    Args:
-        sock: The socket.
-        ready: What is waited for, for a caller that ends the wait by setting it.
+    The loop is given the socket, not its descriptor: uvloop then keeps it open until the watch is removed, as closing
+    a descriptor that the loop polls ends the process.
     """
-    loop = asyncio.get_running_loop()
-    await _watch_once(sock, loop.add_reader, loop.remove_reader, ready or loop.create_future())
 
+    __slots__ = ("_is_watching", "_ready", "_sock")
 
-async def _wait_writable(sock: socket.socket) -> None:
-    loop = asyncio.get_running_loop()
-    await _watch_once(sock, loop.add_writer, loop.remove_writer, loop.create_future())
+    def __init__(self, sock: socket.socket, ready: asyncio.Future[None] | None = None) -> None:
+        self._sock = sock
+        self._ready = ready or asyncio.get_running_loop().create_future()
+        self._is_watching = False
 
+    def __enter__(self) -> asyncio.Future[None]:
+        self._add(asyncio.get_running_loop())
+        self._is_watching = True
+        return self._ready
 
-async def _watch_once(
-    sock: socket.socket,
-    add: Callable[[socket.socket, Callable[[], None]], None],
-    remove: Callable[[socket.socket], Any],
-    ready: asyncio.Future[None],
-) -> None:
-    """Have the loop watch a socket until its next event; no watch outlives an event.
+    def __exit__(self, *_: object) -> None:
+        if self._is_watching:
+            self._is_watching = False
+            self._remove(asyncio.get_running_loop())
 
-    When a connection breaks, uvloop tells its watches once and drops them, without a word: what came with the break,
-    or a call that fails for a moment just then, would be the last that a lasting watch is told of. Its entry for the
-    socket is of no use until a watch is removed, which therefore happens in the very step that tells of the event.
+    def _on_event(self) -> None:
+        self.__exit__()
+        if not self._ready.done():
+            self._ready.set_result(None)
 
-    The loop is given the socket, not its descriptor: uvloop then keeps it open until the watch is removed, as closing
-    a descriptor that the loop polls ends the process.
+    @abstractmethod
+    def _add(self, loop: asyncio.AbstractEventLoop) -> None: ...
+
+    @abstractmethod
+    def _remove(self, loop: asyncio.AbstractEventLoop) -> None: ...
+
+
+class _ReadableWatch(_Watch):
+    __slots__ = ()
+
+    def _add(self, loop: asyncio.AbstractEventLoop) -> None:
+        loop.add_reader(self._sock, self._on_event)
+
+    def _remove(self, loop: asyncio.AbstractEventLoop) -> None:
+        loop.remove_reader(self._sock)
+
+
+class _WritableWatch(_Watch):
+    __slots__ = ()
+
+    def _add(self, loop: asyncio.AbstractEventLoop) -> None:
+        loop.add_writer(self._sock, self._on_event)
+
+    def _remove(self, loop: asyncio.AbstractEventLoop) -> None:
+        loop.remove_writer(self._sock)
+
+
+async def wait_readable(sock: socket.socket, ready: asyncio.Future[None] | None = None) -> None:
+    """Wait until there is something to read or to accept; nothing is consumed. Raises OSError if it cannot be watched.
+
+    The loop's own sock_accept would lose what it had accepted if it were cancelled in the same iteration.
+
+    Args:
+        sock: The socket.
+        ready: What is waited for, for a caller that ends the wait by setting it.
     """
-    is_watched = True
+    with _ReadableWatch(sock, ready) as told:
+        await told
 
-    def on_event() -> None:
-        nonlocal is_watched
-        is_watched = False
-        remove(sock)
-        if not ready.done():
-            ready.set_result(None)
 
-    add(sock, on_event)
-    try:
-        await ready
-    finally:
-        if is_watched:
-            remove(sock)
+async def _wait_writable(sock: socket.socket) -> None:
+    with _WritableWatch(sock) as told:
+        await told
 
 
 class _TransientErrors:
@@ -169,7 +198,8 @@
     failures: _TransientErrors | None = None
     while True:
         try:
-            await wait_readable(sock)
+            with _ReadableWatch(sock) as told:  # not in a coroutine of its own: most sessions rest here
+                await told
             return read(argument)
         except (BlockingIOError, InterruptedError):
             continue
--- a/tests/test_socket_watches.py
+++ b/tests/test_socket_watches.py
@@ -217,14 +217,14 @@
     async def test() -> None:
         loop = asyncio.get_running_loop()
         failures = [OSError(getattr(errno, error), "no memory")]
-        watch_once = tcp._watch_once
+        add = tcp._ReadableWatch._add
 
-        async def fail_first(*args: object) -> None:
+        def fail_first(self: tcp._ReadableWatch, loop: asyncio.AbstractEventLoop) -> None:
             if failures:
                 raise failures.pop()
-            await watch_once(*args)  # type: ignore[arg-type]
+            add(self, loop)
 
-        monkeypatch.setattr(tcp, "_watch_once", fail_first)
+        monkeypatch.setattr(tcp._ReadableWatch, "_add", fail_first)
         ours, theirs = socket.socketpair()
         with ours, theirs:
             ours.setblocking(False)
