A call that fails once costs neither the backlog at the process's end nor a last line

Need: accepting the backlog as the process ends stopped at the first error, and the connections behind it were reset unanswered; BUSY to a connection that is closed at once for want of descriptors was not sent again. Change: accept what waits until none does, with ten failures at most; repeat the send at once.

--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 
 from stoatgw.clients.context import ProxyContext
@@ -14,6 +13,7 @@
 from stoatgw.sockets import tcp
 
 LISTEN_BACKLOG = 4096
+MAX_BACKLOG_FAILURES = 10  # of accepting what waits as the process ends
 
 
 class Listener:
@@ -55,11 +55,18 @@
         if self._accept_task is not None:
             await asyncio.wait([self._accept_task])
         if self._sock is not None:
-            with contextlib.suppress(OSError):  # none is left, or no descriptor
-                while True:
-                    self._start_session(tcp.accept_nowait(self._sock))
+            self._accept_backlog(self._sock)
             self._sock.close()
 
+    def _accept_backlog(self, listener: socket.socket) -> None:
+        """Accepts all connections that wait; a call may fail for a moment, or for want of descriptors."""
+        failures = 0
+        while failures < MAX_BACKLOG_FAILURES and tcp.has_backlog(listener):
+            try:
+                self._start_session(tcp.accept_nowait(listener))
+            except OSError:
+                failures += 1
+
     async def run(self) -> None:
         """Accepts connections for good; returns at once if there is no socket."""
         if self._sock is None:
--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -265,7 +265,14 @@
     return any(events & (select.POLLERR | select.POLLHUP) for _, events in poll.poll(0))
 
 
-def _call_at_once(call: Callable[..., None], *arguments: Any) -> None:
+def has_backlog(listener: socket.socket) -> bool:
+    """Whether a connection waits to be accepted."""
+    poll = select.poll()
+    poll.register(listener, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _call_at_once(call: Callable[..., object], *arguments: Any) -> None:
     """Repeat, at once, a call that fails for a moment and that nobody can wait for. Raises OSError."""
     for retries_left in reversed(range(MAX_IMMEDIATE_RETRIES)):
         try:
@@ -311,7 +318,7 @@
 def send_and_close(sock: socket.socket, last_line: bytes) -> None:
     """Send a last line and close at once, where no descriptor can be spared for a graceful close. Never raises."""
     with contextlib.suppress(OSError):
-        sock.send(last_line)
+        _call_at_once(sock.send, last_line)
         for _ in range(MAX_DISCARDED_BYTES // len(_DISCARD_BUFFER)):  # unread bytes would turn the close into a reset
             if not sock.recv_into(_DISCARD_BUFFER):
                 break
--- a/tests/failing_calls.py
+++ b/tests/failing_calls.py
@@ -15,6 +15,8 @@
 import sys
 from typing import Any
 
+import pytest
+
 END_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 SENDS_BEFORE_FAILURE = 1
 DRAWN_FAILURE_RATE = 0.02
@@ -81,6 +83,13 @@
         super().connect(address)
 
 
+def fail_calls(monkeypatch: pytest.MonkeyPatch, call: str, error: str) -> None:
+    """Has the calls of this process fail, for the length of a test."""
+    monkeypatch.setattr(FailingSocket, "failing_call", call)
+    monkeypatch.setattr(FailingSocket, "error_number", getattr(errno, error))
+    monkeypatch.setattr(socket, "socket", FailingSocket)
+
+
 def main() -> int:
     """Runs the proxy; returns its exit status."""
     call, _, argument = sys.argv[1].partition(":")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -30,6 +30,7 @@
 from stoatgw.decisions.interface import AttemptStatus, Idempotency, KeyScope, RequestClass, Settings
 from stoatgw.sockets import tcp
 from tests.controller_harness import ControllerHarness, run_with_harness
+from tests.failing_calls import fail_calls
 from tests.fleet import settings
 from tests.test_sessions import OPEN, LoopbackProxy, Streams, run_loopback, serve_echo
 
@@ -296,7 +297,13 @@
     run_loopback(serve_echo, test)
 
 
-def test_a_connection_in_the_backlog_as_the_process_ends_is_answered() -> None:
+@pytest.mark.parametrize("error", ["", "EINTR", "EAGAIN", "ENOBUFS", "ECONNABORTED"])
+def test_a_connection_in_the_backlog_as_the_process_ends_is_answered(
+    error: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if error:
+        fail_calls(monkeypatch, "accept", error)
+
     async def test(proxy: LoopbackProxy) -> None:
         proxy.controller.post(BeginDrain(0, 0))
         proxy.listener.set_accepting(False)
@@ -310,6 +317,20 @@
     run_loopback(serve_echo, test)
 
 
+def test_a_connection_that_is_closed_at_once_gets_its_last_line_though_sending_fails_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fail_calls(monkeypatch, "send", "ENOBUFS")
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        ours = socket.create_connection(listener.getsockname())
+        theirs, _ = listener.accept()
+        ours.setblocking(False)
+        with theirs:
+            ours.send(b"PONG\r\n")
+            tcp.send_and_close(ours, b"BUSY\r\n")
+            assert theirs.makefile("rb").read() == b"PONG\r\nBUSY\r\n"
+
+
 def test_an_idle_connection_that_ends_as_its_server_is_checked_is_replaced() -> None:
     """Guards against a healthy server taken for an unresponsive one, and avoided for 5 s."""
     connections: list[int] = []
--- a/tests/test_socket_watches.py
+++ b/tests/test_socket_watches.py
@@ -23,7 +23,7 @@
 from stoatgw.sockets import tcp
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
-from tests.failing_calls import FailingSocket
+from tests.failing_calls import fail_calls
 from tests.test_management import StubManagementApi
 from tests.test_session_crossings import FLOOD
 from tests.test_sessions import LoopbackProxy, run_loopback, serve_echo
@@ -39,12 +39,6 @@
         fail_calls(monkeypatch, "recv", request.param)
 
 
-def fail_calls(monkeypatch: pytest.MonkeyPatch, call: str, error: str) -> None:
-    monkeypatch.setattr(FailingSocket, "failing_call", call)
-    monkeypatch.setattr(FailingSocket, "error_number", getattr(errno, error))
-    monkeypatch.setattr(socket, "socket", FailingSocket)
-
-
 def run(test: Callable[[], Awaitable[None]]) -> None:
     async def bounded() -> None:
         async with asyncio.timeout(10):  # reached by a wait that has no end
