The last calls that nobody can wait for are repeated at once; asking for the backlog ends no shutdown

Need: the last read of the change found places of the fault's shape that were neither tested nor ruled out: UP read as its wait times out, the bytes read before a close at once, the end of a PING that is not taken; and asking for the backlog, new in this change, could end a shutdown with an exception where the kernel refuses (ENOMEM).

--- a/stoatgw/backends/attempt.py
+++ b/stoatgw/backends/attempt.py
@@ -235,7 +235,7 @@
         if self._sock is None or self.stage is not AttemptStage.SENT:
             return False
         try:
-            data = self._sock.recv(READ_SIZE_BYTES)
+            data = tcp.receive_nowait(self._sock, READ_SIZE_BYTES)
         except OSError:  # nothing has come
             return False
         lines = self._receive_before_up(data)
--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -61,8 +61,10 @@
     def _accept_backlog(self, listener: socket.socket) -> None:
         """Accepts all connections that wait; a call may fail for a moment, or for want of descriptors."""
         failures = 0
-        while failures < MAX_BACKLOG_FAILURES and tcp.has_backlog(listener):
+        while failures < MAX_BACKLOG_FAILURES:
             try:
+                if not tcp.has_backlog(listener):
+                    return
                 self._start_session(tcp.accept_nowait(listener))
             except OSError:
                 failures += 1
--- a/stoatgw/clients/request_reader.py
+++ b/stoatgw/clients/request_reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 
 from stoatgw.clients.context import ProxyContext
@@ -67,8 +66,7 @@
         if self._ready is not None and not self._ready.done():
             self._ready.set_result(None)
         if self._is_answering_ping:  # and the client does not read the answers
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RDWR)
+            tcp.shut_down(self._sock)
 
     async def read_request(self) -> SessionRequest | MalformedRequest | None:
         """Reads the request; None if the client leaves or sends nothing. Raises OSError."""
--- a/stoatgw/management/listener.py
+++ b/stoatgw/management/listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
 from typing import Protocol
 
@@ -77,8 +76,7 @@
         """Guards against connections that send nothing, or half a request, and stay."""
         task, connection = next(iter(self._connections.items()))
         del self._connections[task]
-        with contextlib.suppress(OSError):
-            connection.shutdown(socket.SHUT_RDWR)  # wakes its task, which closes it
+        tcp.shut_down(connection)  # its task closes it
 
     def _forget(self, task: asyncio.Task[None]) -> None:
         self._connections.pop(task, None)
--- a/stoatgw/service/core.py
+++ b/stoatgw/service/core.py
@@ -73,12 +73,7 @@
     load_reports = LoadReportSchema(settings.report_columns)
     health_check_results = HealthCheckResults(controller)
     health_checker = HealthChecker(
-        health_check_results,
-        clock,
-        load_reports,
-        deployment.dial_timeout_us,
-        counters,
-        RateLimitedLog(log, clock),
+        health_check_results, clock, load_reports, deployment.dial_timeout_us, counters, RateLimitedLog(log, clock)
     )
     overrides = EndpointOverrides()
     publisher = EndpointPublisher(
--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -272,16 +272,26 @@
     return bool(poll.poll(0))
 
 
-def _call_at_once(call: Callable[..., object], *arguments: Any) -> None:
+def receive_nowait(sock: socket.socket, max_bytes: int) -> bytes:
+    """Return what is there to be read; b"" at the end of the stream. Raises OSError, BlockingIOError for nothing."""
+    return _call_at_once(sock.recv, max_bytes)
+
+
+def shut_down(sock: socket.socket) -> None:
+    """End both directions, which wakes whoever waits on the socket. Never raises."""
+    with contextlib.suppress(OSError):
+        _call_at_once(sock.shutdown, socket.SHUT_RDWR)
+
+
+def _call_at_once(call: Callable[..., Result], *arguments: Any) -> Result:
     """Repeat, at once, a call that fails for a moment and that nobody can wait for. Raises OSError."""
-    for retries_left in reversed(range(MAX_IMMEDIATE_RETRIES)):
+    for _ in range(MAX_IMMEDIATE_RETRIES):
         try:
-            call(*arguments)
+            return call(*arguments)
         except OSError as error:
-            if error.errno not in MOMENTARY_ERRNOS or not retries_left:
+            if error.errno not in MOMENTARY_ERRNOS:
                 raise
-        else:
-            return
+    return call(*arguments)
 
 
 def close(sock: socket.socket, *, reset: bool = False) -> None:
@@ -320,6 +330,6 @@
     with contextlib.suppress(OSError):
         _call_at_once(sock.send, last_line)
         for _ in range(MAX_DISCARDED_BYTES // len(_DISCARD_BUFFER)):  # unread bytes would turn the close into a reset
-            if not sock.recv_into(_DISCARD_BUFFER):
+            if not _call_at_once(sock.recv_into, _DISCARD_BUFFER):
                 break
     close(sock)
--- a/tests/test_socket_watches.py
+++ b/tests/test_socket_watches.py
@@ -187,6 +187,34 @@
     run_loopback(serve_echo, test)
 
 
+@pytest.mark.parametrize("error", MOMENTARY)
+@pytest.mark.parametrize("call", ["recv", "shutdown"])
+def test_a_call_that_nobody_can_wait_for_is_repeated_at_once(
+    call: str, error: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fail_calls(monkeypatch, call, error)
+    with listening() as listener, socket.create_connection(listener.getsockname()) as ours:
+        theirs, _ = listener.accept()
+        ours.setblocking(False)
+        with theirs:
+            theirs.send(b"UP 77\r\n")
+            theirs.close()
+            assert tcp.receive_nowait(ours, 100) == b"UP 77\r\n"
+            tcp.shut_down(ours)
+            assert ours.recv(100) == b""
+
+
+def test_a_backlog_that_cannot_be_asked_for_does_not_end_the_shutdown(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(_listener: socket.socket) -> bool:
+        raise OSError(errno.ENOMEM, "no memory")
+
+    async def test(proxy: LoopbackProxy) -> None:
+        monkeypatch.setattr(tcp, "has_backlog", fail)
+        await proxy.listener.close()
+
+    run_loopback(serve_echo, test)
+
+
 def test_a_server_that_resets_as_it_accepts_is_not_connected_to_again() -> None:
     async def test() -> None:
         with listening() as listener:
