A check that crosses a retried send no longer ends the session of a reset client

Cause: the session monitor took any send to the server that was not over for a server that takes nothing, and ended the session of a client that had reset its connection. A send that failed for want of memory is repeated after 20 ms, one that found the buffer full is told of in the loop's next turn: lines of the client that were about to go were lost. Of the class 'a state in passing, taken for a lasting one'.

Change: the server's connection itself is asked whether it takes bytes (poll), and two checks in a row have to find that it takes none, so that a slow server gets what its client sent: noticed after 0.25 to 0.5 s. The test of the blocked server checks twice for that reason, and holds that once is not enough.

--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -21,6 +21,8 @@
 
 # A send failed: how long the other task of the session, which reads, may take to find out why, and to pass the rest on.
 BREAK_CONFIRMATION_S = 0.5
+# So many checks in a row have to find a server that takes nothing before the lines of its broken client are given up.
+MIN_BLOCKED_CHECKS = 2
 UNPROMPTED_KEYWORDS = (Keyword.LOAD, Keyword.MOVE, Keyword.BYE)  # lines that answer no line of the client
 
 
@@ -38,6 +40,7 @@
     __slots__ = (
         "_attempt",
         "_attempt_ready",
+        "_blocked_checks",
         "_class_name",
         "_client_lines",
         "_closer",
@@ -71,6 +74,7 @@
         self._attempt_ready: asyncio.Future[None] | None = None  # while the client's task waits for that
         self._has_sent: asyncio.Future[None] | None = None  # while the last line waits for the lines before it
         self._is_sending_to_server = False  # and the client is not read meanwhile
+        self._blocked_checks = 0  # in a row that found the server to take nothing of what is being sent
         self._client_lines = LineAligner()
         self._server_lines = LineAligner()
         self._migration = SessionMigration(context.log, closer, request_state, self._server_lines)
@@ -189,11 +193,25 @@
         """Ends the session of a client that has reset its connection while its server takes nothing.
 
         The client is not read meanwhile, and the loop cannot watch a socket with unread bytes for a reset alone.
+
+        A send that is not over is no sign of such a server: it may be about to be repeated, or told of. The server's
+        connection itself is asked, and twice, as the client's last lines are lost by this.
         """
-        if self._is_sending_to_server and not self._state.has_ended and tcp.is_broken(self._sock):
+        if not self._is_server_blocked() or not tcp.is_broken(self._sock):
+            self._blocked_checks = 0
+            return
+        self._blocked_checks += 1
+        if self._blocked_checks >= MIN_BLOCKED_CHECKS:
             why = "reset by the client, while its server takes nothing"
             self._closer.finish(SessionEnd(EndReason.CLIENT_DISCONNECTED, was_reset=True, why=why))
 
+    def _is_server_blocked(self) -> bool:
+        """Whether the server takes nothing now of what the client has sent."""
+        if not self._is_sending_to_server or self._state.has_ended or self._attempt is None:
+            return False
+        descriptor = self._attempt.descriptor
+        return descriptor is not None and descriptor >= 0 and not tcp.is_writable(descriptor)
+
     def peers(self) -> Iterator[Peer]:
         """Gives the open connections of the session."""
         yield Peer(PeerSide.CLIENT, self._sock.fileno(), is_blocked=self._is_sending_to_server)
@@ -260,6 +278,7 @@
         self._context.counters.add("lines_from_clients", len(lines))
         self._latency.record_sent(lines, self._context.clock.now_us())
         self._is_sending_to_server = True
+        self._blocked_checks = 0
         try:
             await attempt.send(data)
         except OSError as error:
--- a/tests/test_socket_watches.py
+++ b/tests/test_socket_watches.py
@@ -159,6 +159,8 @@
         writer.transport.abort()
         await asyncio.sleep(0.05)
         monitor.check_sessions(reports_latency=False)
+        assert not proxy.only_relay._state.has_ended  # its server may only be slow, and its last lines still wait
+        monitor.check_sessions(reports_latency=False)
         await has_ended.wait()
         await proxy.wait_until_idle()
 
