Rig: its first count waits for the health checks, and its ports are no outgoing connection's

'4 descriptors are left' (3 of 325): the count to compare with was taken while the proxy opened its eight first health checks; traced by printing both counts (17 first, 24 ever after, the rest all connections of health checks). The rig now waits until all servers were checked, and until five counts in a row are the same, which also takes out the one descriptor of slack that the last operator's call left. 'ended before ready' (4 runs of the rig beside each other): the port found free was given to an outgoing connection before the proxy could listen there ('Address already in use'). Free ports now lie below those that Linux gives away; tests and maintenance runs share one function for it.

--- a/stoatgw/emulator/loopback/maintenance/addresses.py
+++ b/stoatgw/emulator/loopback/maintenance/addresses.py
@@ -6,10 +6,13 @@
 import os
 import socket
 
+# Below those that Linux gives to outgoing connections (32768 on): one of these could take a port before its listener.
+FIRST_PORT = 10_000
+PORT_COUNT = 20_000
+PORTS_PER_PROCESS = 97  # processes that run beside each other begin at so many ports' distance
+
 _runs = itertools.count()
-_given: set[tuple[str, int]] = (
-    set()
-)  # addresses that were handed out: the system may name a port again once it is closed
+_port_indexes = itertools.count(os.getpid() * PORTS_PER_PROCESS)
 
 
 def unique_host() -> str:
@@ -18,11 +21,12 @@
 
 
 def free_port(host: str) -> int:
-    """A port that is free at an address now, and that this process was not given before."""
+    """A port that is free at an address now, and that this process was not given in its last 20,000 calls."""
     while True:
+        port = FIRST_PORT + next(_port_indexes) % PORT_COUNT
         with socket.socket() as sock:
-            sock.bind((host, 0))
-            port: int = sock.getsockname()[1]
-        if (host, port) not in _given:
-            _given.add((host, port))
+            try:
+                sock.bind((host, port))
+            except OSError:
+                continue
             return port
--- a/tests/peer_ends.py
+++ b/tests/peer_ends.py
@@ -18,6 +18,7 @@
 
 HANG_TIMEOUT_S = 10  # all ends are passed on within a moment: only one that never is takes as long
 POLL_INTERVAL_S = 0.02
+STEADY_COUNTS = 5  # in a row that are equal
 LINGER_RESET = struct.pack("ii", 1, 0)
 UP = b"UP 77\r\n"
 MANY_LINES = (b"x" * 998 + b"\r\n") * 20  # more than one read takes
@@ -153,6 +154,7 @@
 
     def __init__(self, folder: Path) -> None:
         super().__init__(folder)
+        self._checked_servers = 0  # the connection of a server's first health check is kept for the next ones
         self.cases = [
             Case(number, peer, ending, unread, is_one_turn)
             for number, (peer, ending, unread, is_one_turn) in enumerate(
@@ -165,6 +167,8 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answers health checks, and hands the connection of a request to its case."""
         request = await reader.readline()
+        if request and not request.startswith(b"OPEN"):
+            self._checked_servers += 1
         while request and not request.startswith(b"OPEN"):
             writer.write(b"PONG x0=0.001,inflight=1\r\n")
             request = await reader.readline()
@@ -202,7 +206,7 @@
 
     async def play(self, process: asyncio.subprocess.Process) -> list[str]:
         """Plays all cases beside each other; what was wrong."""
-        descriptors = await self._count_descriptors(process)
+        descriptors = await self._count_lasting_descriptors(process)
         # Those that wait for UP come last: a proxy places few requests at a server that does not answer.
         for case in sorted(self.cases, key=lambda case: case.peer in (Peer.SERVER_BEFORE_UP, Peer.CLIENT_BEFORE_UP)):
             await self.connect(case)
@@ -217,6 +221,16 @@
         await self.stop()
         return faults + [fault for case in self.cases for fault in case.faults(self.log)]
 
+    async def _count_lasting_descriptors(self, process: asyncio.subprocess.Process) -> int:
+        """The count while the proxy is idle: its first health checks are over, and operators' calls closed."""
+        while self._checked_servers < self.server_count:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        counts = [await self._count_descriptors(process)]
+        while len(counts) < STEADY_COUNTS or len(set(counts[-STEADY_COUNTS:])) > 1:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            counts.append(await self._count_descriptors(process))
+        return counts[-1]
+
     async def _count_descriptors(self, process: asyncio.subprocess.Process) -> int:
         return len(os.listdir(f"/proc/{process.pid}/fd"))
 
--- a/tests/proxy_process.py
+++ b/tests/proxy_process.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import json
-import socket
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from stoatgw.emulator.loopback.maintenance import addresses
 from tests.test_discovery import CONFIG, HEAD
 
 
@@ -39,11 +39,8 @@
 
 
 def free_port() -> int:
-    """A port of 127.0.0.1 that nobody listens on now."""
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port: int = free.getsockname()[1]
-    return port
+    """A port of 127.0.0.1 that nobody listens on, and that no outgoing connection is given."""
+    return addresses.free_port("127.0.0.1")
 
 
 def write_config(path: Path, **changes: Any) -> None:
--- a/tests/proxy_rig.py
+++ b/tests/proxy_rig.py
@@ -28,6 +28,7 @@
         self._programs: list[asyncio.subprocess.Process] = []
         self._readers: list[asyncio.Task[None]] = []
         self.log: list[dict[str, Any]] = []  # of all processes
+        self.server_count = 0
 
     @property
     def address(self) -> tuple[str, int]:
@@ -37,6 +38,7 @@
 
     async def start_services(self, server_names: Sequence[str], **changes: Any) -> None:
         """Starts the session servers and discovery, and writes the configuration."""
+        self.server_count = len(server_names)
         entries = []
         for name in server_names:
             server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
