Rig: a migration by the policy may cross a server's end; faults tell the log's reason

Traced by printing the last bytes and the log's reason: the policy moved load elsewhere (MOVE) before the end of that server was read, which is in order. Such a session, told by its session_migrating event, is held to whole lines of its server, then MOVE, and an end, not a reset. All others are judged as before.

--- a/tests/peer_ends.py
+++ b/tests/peer_ends.py
@@ -21,6 +21,7 @@
 STEADY_COUNTS = 5  # in a row that are equal
 LINGER_RESET = struct.pack("ii", 1, 0)
 UP = b"UP 77\r\n"
+MOVE = b"MOVE\r\n"
 MANY_LINES = (b"x" * 998 + b"\r\n") * 20  # more than one read takes
 TIMER_REASONS = ("timed out", "it sent no request in time")
 
@@ -131,7 +132,9 @@
                 faults.append("the other side was not told")
             if not any(event["event"] == "session_ended" for event in own):
                 faults.append("no end in the log")
-        if self.peer is Peer.SERVER:
+        if self.peer is Peer.SERVER and any(event["event"] == "session_migrating" for event in own):
+            faults += self._faults_of_migration()
+        elif self.peer is Peer.SERVER:
             faults += self._faults_of_relay(UP + self.unread)
         elif self.peer is Peer.CLIENT:
             # Half a line of a client that resets its connection is of no use to anybody.
@@ -139,11 +142,19 @@
             faults += self._faults_of_relay(self.unread[: self.unread.rfind(b"\n") + 1] if is_cut else self.unread)
         elif self.peer is Peer.SERVER_BEFORE_UP and not self.received:
             faults.append("no answer")
-        return [f"{self}: {fault}" for fault in faults]
+        ends = [event.get("why") or event["reason"] for event in own if event["event"] == "session_ended"]
+        return [f"{self}: {fault} (log: {ends})" for fault in faults]
+
+    def _faults_of_migration(self) -> Iterator[str]:
+        """The load may be moved elsewhere before the server's end is read: whole lines of it then, and `MOVE`."""
+        lines = self.received.removesuffix(MOVE)
+        is_whole = lines.endswith(b"\n") and (UP + self.unread).startswith(lines)
+        if lines == self.received or not is_whole or self.was_reset:
+            yield f"migrated behind {self.received[-16:]!r}"
 
     def _faults_of_relay(self, expected: bytes) -> Iterator[str]:
         if self.received != expected:
-            yield f"{len(self.received)} bytes came of {len(expected)}"
+            yield f"{len(self.received)} bytes came of {len(expected)}, the last {self.received[-8:]!r}"
         is_announced = self.unread == b"BYE\r\n"
         if self.was_reset is not None and self.was_reset != (self.ending is Ending.RESET and not is_announced):
             yield f"was passed on as {'a reset' if self.was_reset else 'an end'}"
