Connecting: want of a local port, a lost route and a socket not created for a moment are repeated

Need: these calls fail for a moment as well (EADDRNOTAVAIL, ENETUNREACH; ENFILE, ENOBUFS, ENOMEM of socket), and such a failure counted against a sound server, or cost a session its place.

Change: the repeats of a connect take in the first two; a socket is created anew at once, up to three times, for sessions as for listeners. A failure that goes on for the whole time to connect counts against the server as before.

Measured: five new cases of the socket tests fail without the change of the program and pass with it. The test of a call that fails at a session's start is stricter: one attempt, no BUSY, no server avoided, where a BUSY was let pass.

--- a/stoatgw/sockets/tcp.py
+++ b/stoatgw/sockets/tcp.py
@@ -19,7 +19,9 @@
 TRANSIENT_RETRY_INTERVAL_S = 0.02
 MAX_TRANSIENT_RETRIES = 50
 MOMENTARY_ERRNOS = (errno.EINTR, errno.EAGAIN, *TRANSIENT_ERRNOS)
-CONNECT_TRANSIENT_ERRNOS = (errno.EAGAIN, *TRANSIENT_ERRNOS)
+# Want of a local port, or a route that changes just then, says as little about the peer.
+CONNECT_TRANSIENT_ERRNOS = (errno.EAGAIN, errno.EADDRNOTAVAIL, errno.ENETUNREACH, *TRANSIENT_ERRNOS)
+SOCKET_TRANSIENT_ERRNOS = (errno.ENFILE, *MOMENTARY_ERRNOS)
 MAX_IMMEDIATE_RETRIES = 3  # of a call that cannot be waited for
 MAX_DISCARDED_BYTES = 1024 * 1024  # read and thrown away at a connection's end
 _DISCARD_BUFFER = bytearray(65536)  # shared by all: nobody looks at what is in it
@@ -31,12 +33,16 @@
 
 def create_socket() -> socket.socket:
     """Create a non-blocking socket for connecting. Raises OSError."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = _create_tcp_socket()
     sock.setblocking(False)
     _call_at_once(sock.setsockopt, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
+def _create_tcp_socket() -> socket.socket:
+    return _call_at_once(socket.socket, socket.AF_INET, socket.SOCK_STREAM, errnos=SOCKET_TRANSIENT_ERRNOS)
+
+
 @contextlib.contextmanager
 def open_socket() -> Iterator[socket.socket]:
     """Create a socket for connecting, and close it at the end of the block. Raises OSError."""
@@ -49,7 +55,7 @@
 
 def create_listener(address: tuple[str, int], backlog: int) -> socket.socket:
     """Create a listening socket. Raises OSError."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = _create_tcp_socket()
     try:
         _call_at_once(sock.setsockopt, socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
@@ -290,13 +296,13 @@
         _call_at_once(sock.shutdown, socket.SHUT_RDWR)
 
 
-def _call_at_once(call: Callable[..., Result], *arguments: Any) -> Result:
+def _call_at_once(call: Callable[..., Result], *arguments: Any, errnos: Collection[int] = MOMENTARY_ERRNOS) -> Result:
     """Repeat, at once, a call that fails for a moment and that nobody can wait for. Raises OSError."""
     for _ in range(MAX_IMMEDIATE_RETRIES):
         try:
             return call(*arguments)
         except OSError as error:
-            if error.errno not in MOMENTARY_ERRNOS:
+            if error.errno not in errnos:
                 raise
     return call(*arguments)
 
--- a/tests/failing_calls.py
+++ b/tests/failing_calls.py
@@ -2,7 +2,8 @@
 
 `recv` fails once on each connection, as the end of its peer has come and is not read yet; `send` fails once, at the
 second call on each connection; `shutdown`, `setsockopt` and `accept` fail once, at the first call on each socket; of
-all calls of `connect`, every second one fails. `any:SEED` has each of these fail now and then, with drawn errors.
+all calls of `connect`, and of `socket`, every second one fails. `any:SEED` has each of these fail now and then, with
+drawn errors.
 
 A second argument is the interval of the session monitor, in seconds: a short one has a check fall into every failure.
 """
@@ -32,9 +33,22 @@
     error_number = 0
     draws: random.Random | None = None  # of any call, in place of one
     connects = 0  # of all sockets
+    creations = 0
     _has_failed = False
     _sends = 0
 
+    def __init__(self, family: int = -1, kind: int = -1, protocol: int = -1, fileno: int | None = None) -> None:
+        super().__init__(family, kind, protocol, fileno)
+        if fileno is not None:
+            return  # of a connection that was accepted
+        FailingSocket.creations += 1
+        if FailingSocket.creations % 2:
+            try:
+                self._fail_once("socket")
+            except OSError:
+                self.close()
+                raise
+
     def _fail_once(self, call: str) -> None:
         if self.family != socket.AF_INET:
             return  # the event loop's own
@@ -89,6 +103,7 @@
     """Has the calls of this process fail, for the length of a test."""
     monkeypatch.setattr(FailingSocket, "failing_call", call)
     monkeypatch.setattr(FailingSocket, "error_number", getattr(errno, error))
+    monkeypatch.setattr(FailingSocket, "creations", 0)
     monkeypatch.setattr(socket, "socket", FailingSocket)
 
 
@@ -100,7 +115,7 @@
     else:
         FailingSocket.failing_call = call
         FailingSocket.error_number = getattr(errno, argument) if argument else 0
-    socket.socket = FailingSocket  # type: ignore[misc]
+    socket.socket = FailingSocket  # type: ignore[misc, assignment]
     from stoatgw.clients import session_monitor
     from stoatgw.service import main as serve
 
--- a/tests/test_socket_watches.py
+++ b/tests/test_socket_watches.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import errno
+import itertools
 import socket
 from collections.abc import Awaitable, Callable, Iterator
 
@@ -23,7 +24,7 @@
 from stoatgw.sockets import tcp
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
-from tests.failing_calls import fail_calls
+from tests.failing_calls import FailingSocket, fail_calls
 from tests.test_management import StubManagementApi
 from tests.test_session_crossings import FLOOD
 from tests.test_sessions import LoopbackProxy, run_loopback, serve_echo
@@ -168,27 +169,42 @@
     run_loopback(serve, test)
 
 
-@pytest.mark.parametrize("error", MOMENTARY)
-@pytest.mark.parametrize("call", ["accept", "connect", "setsockopt"])
+@pytest.mark.parametrize(
+    ("call", "error"),
+    [
+        *itertools.product(["accept", "connect", "setsockopt"], MOMENTARY),
+        ("connect", "EADDRNOTAVAIL"),
+        ("connect", "ENETUNREACH"),
+    ],
+)
 def test_clients_are_served_though_a_call_of_the_start_fails_once(
     call: str, error: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     fail_calls(monkeypatch, call, error)
 
     async def test(proxy: LoopbackProxy) -> None:
-        answers = []
-        while b"UP 77\r\n" not in answers:  # a failed attempt may be answered with BUSY
-            reader, writer = await proxy.open_session()
-            answers.append(await reader.readline())
-            writer.write(b"END\r\n")
-            assert (await reader.read()).startswith(b"BYE") or answers[-1].startswith(b"BUSY")
-            writer.close()
-        assert len(answers) <= 2
+        reader, writer = await proxy.open_session()
+        assert await reader.readline() == b"UP 77\r\n"
+        writer.write(b"END\r\n")
+        assert (await reader.read()).startswith(b"BYE")
+        writer.close()
         await proxy.wait_until_idle()
+        assert proxy.counters["attempts"] == 1
+        assert proxy.controller.avoided_servers() == []
 
     run_loopback(serve_echo, test)
 
 
+@pytest.mark.parametrize("error", ["ENFILE", "ENOBUFS", "ENOMEM"])
+def test_a_socket_that_cannot_be_created_for_a_moment_is_created_all_the_same(
+    error: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fail_calls(monkeypatch, "socket", error)
+    tcp.create_socket().close()
+    monkeypatch.setattr(FailingSocket, "creations", 0)
+    tcp.create_listener(("127.0.0.1", 0), 1).close()
+
+
 @pytest.mark.parametrize("error", MOMENTARY)
 @pytest.mark.parametrize("call", ["recv", "shutdown"])
 def test_a_call_that_nobody_can_wait_for_is_repeated_at_once(
