sockets: watches, repeated calls and questions to the kernel are modules of their own

Change: moved without a change of behaviour to watches.py, transient.py and socket_state.py; the two watches and the two waits are public there. Tests name the new places.

--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -10,7 +10,7 @@
 from stoatgw.clients.session_end import reject_connection
 from stoatgw.config.deployment import Address
 from stoatgw.line_protocol.grammar import encode_busy
-from stoatgw.sockets import tcp
+from stoatgw.sockets import socket_state, tcp
 
 LISTEN_BACKLOG = 4096
 MAX_BACKLOG_FAILURES = 10  # of accepting what waits as the process ends
@@ -63,7 +63,7 @@
         failures = 0
         while failures < MAX_BACKLOG_FAILURES:
             try:
-                if not tcp.has_backlog(listener):
+                if not socket_state.has_backlog(listener):
                     return
                 self._start_session(tcp.accept_nowait(listener))
             except OSError:
--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -16,7 +16,7 @@
 from stoatgw.controller.reasons import MigrationReason
 from stoatgw.line_protocol.grammar import MOVE, Keyword, encode_error, parse_number, parse_reply
 from stoatgw.line_protocol.splitter import LineAligner, split_lines
-from stoatgw.sockets import tcp
+from stoatgw.sockets import socket_state, tcp
 from stoatgw.telemetry.metrics import RequestOutcome
 
 # A send failed: how long the other task of the session, which reads, may take to find out why, and to pass the rest on.
@@ -197,7 +197,7 @@
         A send that is not over is no sign of such a server: it may be about to be repeated, or told of. The server's
         connection itself is asked, and twice, as the client's last lines are lost by this.
         """
-        if not self._is_server_blocked() or not tcp.is_broken(self._sock):
+        if not self._is_server_blocked() or not socket_state.is_broken(self._sock):
             self._blocked_checks = 0
             return
         self._blocked_checks += 1
@@ -210,7 +210,7 @@
         if not self._is_sending_to_server or self._state.has_ended or self._attempt is None:
             return False
         descriptor = self._attempt.descriptor
-        return descriptor is not None and descriptor >= 0 and not tcp.is_writable(descriptor)
+        return descriptor is not None and descriptor >= 0 and not socket_state.is_writable(descriptor)
 
     def peers(self) -> Iterator[Peer]:
         """Gives the open connections of the session."""
--- a/stoatgw/clients/request_reader.py
+++ b/stoatgw/clients/request_reader.py
@@ -15,7 +15,7 @@
     parse_session_request,
 )
 from stoatgw.line_protocol.splitter import MAX_LINE_BYTES, LineSplitter
-from stoatgw.sockets import tcp
+from stoatgw.sockets import tcp, transient, watches
 
 REQUEST_TIMEOUT_S = 2.0  # from accepting to a complete request, however its bytes trickle in and whatever PINGs come
 MAX_WAIT_MS = 3_600_000  # no client waits an hour for UP
@@ -93,14 +93,14 @@
         try:
             if not self.is_expired:
                 self._ready = asyncio.get_running_loop().create_future()
-                await tcp.wait_readable(self._sock, self._ready)
+                await watches.wait_readable(self._sock, self._ready)
             return self._sock.recv(MAX_LINE_BYTES)
         except (BlockingIOError, InterruptedError):
             return None
         except OSError as error:
-            if error.errno not in tcp.TRANSIENT_ERRNOS:
+            if error.errno not in transient.TRANSIENT_ERRNOS:
                 raise
-            await asyncio.sleep(tcp.TRANSIENT_RETRY_INTERVAL_S)
+            await asyncio.sleep(transient.TRANSIENT_RETRY_INTERVAL_S)
             return None
 
     async def _receive_data(self, data: bytes) -> SessionRequest | MalformedRequest | None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -28,7 +28,7 @@
     RequestTimedOut,
 )
 from stoatgw.decisions.interface import AttemptStatus, Idempotency, KeyScope, RequestClass, Settings
-from stoatgw.sockets import tcp
+from stoatgw.sockets import tcp, watches
 from tests.controller_harness import ControllerHarness, run_with_harness
 from tests.failing_calls import fail_calls
 from tests.fleet import settings
@@ -282,7 +282,7 @@
         while not proxy.context.descriptor_limiter._idle_connections:
             await asyncio.sleep(0.01)
         second = await proxy.connect()
-        await tcp.wait_readable(first)  # a descriptor was needed: BUSY is there, unread
+        await watches.wait_readable(first)  # a descriptor was needed: BUSY is there, unread
         await asyncio.sleep(0.02)
         await loop.sock_sendall(first, OPEN % 99)
         await asyncio.sleep(0.02)
--- a/tests/test_session_crossings.py
+++ b/tests/test_session_crossings.py
@@ -24,7 +24,7 @@
 from stoatgw.line_protocol.splitter import MAX_LINE_BYTES, LineAligner
 from stoatgw.service import shutdown
 from stoatgw.service.core import ProxyCore
-from stoatgw.sockets import tcp
+from stoatgw.sockets import tcp, transient, watches
 from tests.test_line_protocol import cut
 from tests.test_service import make_core
 from tests.test_sessions import OPEN, LoopbackProxy, Serve, Streams, run_loopback, serve_echo
@@ -109,7 +109,7 @@
             right.setblocking(False)
             await tcp.send_all(left, b"line\r\n")
             assert await tcp.receive(right, 100) == b"line\r\n"
-            left.failures_left = tcp.MAX_TRANSIENT_RETRIES + 1
+            left.failures_left = transient.MAX_TRANSIENT_RETRIES + 1
             with pytest.raises(OSError, match="buffer space"):
                 await tcp.send_all(left, b"line\r\n")
 
@@ -563,7 +563,7 @@
 def test_no_descriptor_is_closed_while_a_task_waits_on_it(monkeypatch: pytest.MonkeyPatch) -> None:
     """The server resets while a line of the client's waits for it: the descriptor could be another session's next."""
     waiting: set[int] = set()
-    wait_writable = tcp._wait_writable
+    wait_writable = watches.wait_writable
     close = tcp.close
 
     async def record_wait(sock: socket.socket) -> None:
@@ -590,7 +590,7 @@
         writer.close()
 
     async def test(proxy: LoopbackProxy) -> None:
-        monkeypatch.setattr(tcp, "_wait_writable", record_wait)
+        monkeypatch.setattr(watches, "wait_writable", record_wait)
         monkeypatch.setattr(tcp, "close", record_close)
         reader, writer = await proxy.open_session()
         writer.write(b"")
@@ -611,7 +611,7 @@
     async def test(proxy: LoopbackProxy) -> None:
         async def time_out(self: Attempt, _sock: socket.socket) -> AttemptEnd | None:
             assert self._sock is not None
-            await tcp.wait_readable(self._sock)  # UP is there
+            await watches.wait_readable(self._sock)  # UP is there
             raise TimeoutError
 
         monkeypatch.setattr(Attempt, "_receive_first_reply", time_out)
--- a/tests/test_socket_watches.py
+++ b/tests/test_socket_watches.py
@@ -21,7 +21,7 @@
 from stoatgw.discovery.watch_call import WatchCall
 from stoatgw.management.listener import ManagementListener
 from stoatgw.membership.client import CallFailure, CoordinationClient
-from stoatgw.sockets import tcp
+from stoatgw.sockets import socket_state, tcp, watches
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog
 from tests.failing_calls import FailingSocket, fail_calls
@@ -227,7 +227,7 @@
         raise OSError(errno.ENOMEM, "no memory")
 
     async def test(proxy: LoopbackProxy) -> None:
-        monkeypatch.setattr(tcp, "has_backlog", fail)
+        monkeypatch.setattr(socket_state, "has_backlog", fail)
         await proxy.listener.close()
 
     run_loopback(serve_echo, test)
@@ -257,14 +257,14 @@
     async def test() -> None:
         loop = asyncio.get_running_loop()
         failures = [OSError(getattr(errno, error), "no memory")]
-        add = tcp._ReadableWatch._add
+        add = watches.ReadableWatch._add
 
-        def fail_first(self: tcp._ReadableWatch, loop: asyncio.AbstractEventLoop) -> None:
+        def fail_first(self: watches.ReadableWatch, loop: asyncio.AbstractEventLoop) -> None:
             if failures:
                 raise failures.pop()
             add(self, loop)
 
-        monkeypatch.setattr(tcp._ReadableWatch, "_add", fail_first)
+        monkeypatch.setattr(watches.ReadableWatch, "_add", fail_first)
         ours, theirs = socket.socketpair()
         with ours, theirs:
             ours.setblocking(False)
@@ -285,8 +285,8 @@
                 ours.setblocking(False)
                 told = asyncio.get_running_loop().create_future()
                 waiting: list[asyncio.Task[None]] = []
-                told.add_done_callback(lambda _: waiting.append(asyncio.create_task(tcp._wait_writable(ours))))
-                reading = asyncio.create_task(tcp.wait_readable(ours, told))
+                told.add_done_callback(lambda _: waiting.append(asyncio.create_task(watches.wait_writable(ours))))
+                reading = asyncio.create_task(watches.wait_readable(ours, told))
                 await asyncio.sleep(0.01)
                 tcp.close(theirs, reset=True)
                 await reading
