A connection that the kernel gives up is broken, and not the end of our own time

Cause: OSError with ETIMEDOUT is a TimeoutError in Python. Where a wait has a time limit, the two could not be told apart: an attempt whose connection broke before UP ended as 'timed out' (EXPIRED for DROPPED), and a call of the coordination engine that was sent already counted as one that never ran, to be made again at another endpoint.

Change: the socket calls raise it as ConnectionError, in the one place through which their errors go.

Four runs of the grid with connections that break for good look at ends, reasons and descriptors, not at bytes, which such a break may lose.

--- a/stoatgw/sockets/transient.py
+++ b/stoatgw/sockets/transient.py
@@ -29,6 +29,9 @@
 
     async def wait(self, error: OSError) -> None:
         """Wait before the call is repeated. Raises the error if it is of another kind, or came too often."""
+        if error.errno == errno.ETIMEDOUT:
+            # Python raises it as TimeoutError, which callers would take for the end of their own time.
+            raise ConnectionError(error.errno, error.strerror) from error
         if error.errno not in self._errnos or not self._retries_left:
             raise error
         self._retries_left -= 1
--- a/tests/peer_ends.py
+++ b/tests/peer_ends.py
@@ -123,7 +123,7 @@
             self.was_reset = True
         writer.close()
 
-    def faults(self, log: list[dict[str, object]]) -> list[str]:
+    def faults(self, log: list[dict[str, object]], *, loses_bytes: bool) -> list[str]:
         """What is wrong with what the other side saw, and with what the log says of it."""
         own = [event for event in log if event.get("id") == self.request_id]
         faults = [f"{event['event']}: {event['why']}" for event in own if event.get("why") in TIMER_REASONS]
@@ -132,18 +132,23 @@
                 faults.append("the other side was not told")
             if not any(event["event"] == "session_ended" for event in own):
                 faults.append("no end in the log")
+        if not loses_bytes:
+            faults += self._faults_of_bytes(own)
+        ends = [event.get("why") or event["reason"] for event in own if event["event"] == "session_ended"]
+        return [f"{self}: {fault} (log: {ends})" for fault in faults]
+
+    def _faults_of_bytes(self, own: list[dict[str, object]]) -> Iterator[str]:
+        """What is wrong with the bytes that the other side got, and with how they ended."""
         if any(event["event"] == "session_migrating" for event in own):
-            faults += self._faults_of_migration()
+            yield from self._faults_of_migration()
         elif self.peer is Peer.SERVER:
-            faults += self._faults_of_relay(UP + self.unread)
+            yield from self._faults_of_relay(UP + self.unread)
         elif self.peer is Peer.CLIENT:
             # Half a line of a client that resets its connection is of no use to anybody.
             is_cut = self.ending is Ending.RESET
-            faults += self._faults_of_relay(self.unread[: self.unread.rfind(b"\n") + 1] if is_cut else self.unread)
+            yield from self._faults_of_relay(self.unread[: self.unread.rfind(b"\n") + 1] if is_cut else self.unread)
         elif self.peer is Peer.SERVER_BEFORE_UP and not self.received:
-            faults.append("no answer")
-        ends = [event.get("why") or event["reason"] for event in own if event["event"] == "session_ended"]
-        return [f"{self}: {fault} (log: {ends})" for fault in faults]
+            yield "no answer"
 
     def _faults_of_migration(self) -> Iterator[str]:
         """The load may be moved elsewhere before the end is read: the other side gets whole lines and an end then.
@@ -231,8 +236,13 @@
         elif case.peer is Peer.SERVER:
             case.received = answer
 
-    async def play(self, process: asyncio.subprocess.Process) -> list[str]:
-        """Plays all cases beside each other; what was wrong."""
+    async def play(self, process: asyncio.subprocess.Process, *, loses_bytes: bool = False) -> list[str]:
+        """Plays all cases beside each other; what was wrong.
+
+        Args:
+            process: The proxy.
+            loses_bytes: Its connections break, so that what they held is lost: only ends are looked at.
+        """
         descriptors = await self._count_lasting_descriptors(process)
         # Those that wait for UP come last: a proxy places few requests at a server that does not answer.
         for case in sorted(self.cases, key=lambda case: case.peer in (Peer.SERVER_BEFORE_UP, Peer.CLIENT_BEFORE_UP)):
@@ -246,7 +256,7 @@
             task.cancel()
         faults = await self._faults_of_leaks(process, descriptors) if not hanging else []
         await self.stop()
-        return faults + [fault for case in self.cases for fault in case.faults(self.log)]
+        return faults + [fault for case in self.cases for fault in case.faults(self.log, loses_bytes=loses_bytes)]
 
     async def _count_lasting_descriptors(self, process: asyncio.subprocess.Process) -> int:
         """The count while the proxy is idle: its first health checks are over, and operators' calls closed."""
--- a/tests/test_peer_ends.py
+++ b/tests/test_peer_ends.py
@@ -31,7 +31,7 @@
 FREQUENT_MONITOR_INTERVAL_S = "0.002"  # a call that fails once is repeated after 20 ms
 
 
-def play(folder: Path, failing_call: str, *options: str) -> list[str]:
+def play(folder: Path, failing_call: str, *options: str, loses_bytes: bool = False) -> list[str]:
     """Plays all cases with one call that fails once on each connection; what was wrong."""
 
     async def test() -> list[str]:
@@ -39,7 +39,7 @@
         await rig.start_services(SERVER_NAMES)
         async with rig.running():
             process, _ = await rig.start_process(["tests.failing_calls", failing_call, *options])
-            return await rig.play(process)
+            return await rig.play(process, loses_bytes=loses_bytes)
 
     return asyncio.run(test())
 
@@ -52,3 +52,9 @@
 @pytest.mark.parametrize("call", ["recv", "send", "shutdown"])
 def test_an_end_is_passed_on_though_a_call_fails_once(call: str, error: str, tmp_path: Path) -> None:
     assert play(tmp_path, f"{call}:{error}", FREQUENT_MONITOR_INTERVAL_S) == []
+
+
+@pytest.mark.parametrize("error", ["ETIMEDOUT", "EHOSTUNREACH"])
+@pytest.mark.parametrize("call", ["recv", "send"])
+def test_a_connection_that_breaks_for_good_is_passed_on(call: str, error: str, tmp_path: Path) -> None:
+    assert play(tmp_path, f"{call}:{error}", FREQUENT_MONITOR_INTERVAL_S, loses_bytes=True) == []
--- a/tests/test_socket_watches.py
+++ b/tests/test_socket_watches.py
@@ -89,6 +89,23 @@
     run(test)
 
 
+def test_a_call_of_the_coordination_engine_whose_connection_times_out_may_have_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The kernel gives the connection up once the call is sent: carried out elsewhere, it could happen twice."""
+    fail_calls(monkeypatch, "recv", "ETIMEDOUT")
+
+    async def test() -> None:
+        with listening() as listener:
+            breaking = asyncio.create_task(break_off(listener, b"HTTP/1.1 200 OK\r\n"))
+            result = await CoordinationClient([Address(*listener.getsockname())], NEVER_S).call("/v3/kv/txn", {})
+            assert isinstance(result, CallFailure)
+            assert result.may_have_run
+            await breaking
+
+    run(test)
+
+
 @pytest.mark.usefixtures("failing_recv")
 def test_an_operators_call_that_breaks_off(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("stoatgw.management.listener.REQUEST_TIMEOUT_S", NEVER_S)
