Slow start: places that all proxies compute alike, in place of each proxy's own ramp

To blame: SlowStartLimiter._refill and _max_credit. Ruled out there: late reports, lapsed places, proxies not yet notified.

Now time since the server's start is cut into places that depend on nothing a proxy has learned alone: owner by a hash of server and place, one connection a place, as many touch any window as N + 3 has new groups. Estimates only say how many of the nested places are used; they take the least capacity that kind, fleet and the server's own reports suggest.

--- a/stoatgw/decisions/server_selection.py
+++ b/stoatgw/decisions/server_selection.py
@@ -12,6 +12,7 @@
 MAX_EXAMINED = 12  # servers examined in each of the three groups
 SPILL_LOAD = 0.6  # load up to which the own zone, then warm servers, are filled first
 GROUP_AFFINITY = 0.05  # a server that holds the connection's group is preferred by so much load
+MAX_WARMING_UP_EXAMINED = 96  # servers in slow start, few of which have an open place of this balancer
 MAX_SETUPS_PER_SERVER = 16  # own set-ups in flight at one server
 RECENT_REPORT_US = 1_000_000  # among many balancers only reports as recent as this are believed
 
@@ -34,8 +35,9 @@
     wanted = max(MIN_COMPARED, len(fleet.ready) // context.settings.balancers)
     # Those warming up are few for each balancer, and a random draw would hardly ever meet them.
     for group in (fleet.warming_up, fleet.local, fleet.remote):
-        is_warming_up = group is fleet.warming_up
-        if needs_recent_report and not is_warming_up:
+        if group is fleet.warming_up:
+            drawn = draw_with_slow_start_capacity(context, connection)
+        elif needs_recent_report:
             drawn = draw_recently_reported(context, is_local=group is fleet.local)
         else:
             drawn = draw(context, group)
@@ -43,9 +45,6 @@
         found = 0
         for rank, server in _rank_passing(context, connection, drawn, margin, excluded, is_remote=is_remote):
             if rank < best_rank:
-                # Sent too many connections, a server that is warming up falls over for good.
-                if is_warming_up and not context.has_slow_start_capacity(server, connection):
-                    continue
                 best = server
                 best_rank = rank
             is_last_choice, is_over_spill_load, _, _ = rank
@@ -109,10 +108,16 @@
     return profile.key_scope is not KeyScope.ZONE or server.endpoint.zone == first_run.endpoint.zone
 
 
-def draw(context: DecisionContext, servers: list[ServerState]) -> list[ServerState]:
+def draw(context: DecisionContext, servers: list[ServerState], count: int = MAX_EXAMINED) -> list[ServerState]:
     """Return as many servers as a decision examines, from a random place in the list on."""
     first = int(context.rng.random() * len(servers))
-    return [*servers[first : first + MAX_EXAMINED], *servers[: min(first, MAX_EXAMINED)]][:MAX_EXAMINED]
+    return [*servers[first : first + count], *servers[: min(first, count)]][:count]
+
+
+def draw_with_slow_start_capacity(context: DecisionContext, connection: ConnectionState) -> list[ServerState]:
+    """Return some servers in slow start that may be sent the connection now: sent too many, they fall over for good."""
+    drawn = draw(context, context.fleet.warming_up, MAX_WARMING_UP_EXAMINED)
+    return [server for server in drawn if context.has_slow_start_capacity(server, connection)][:MAX_EXAMINED]
 
 
 def draw_recently_reported(context: DecisionContext, *, is_local: bool) -> list[ServerState]:
--- a/stoatgw/decisions/state/context.py
+++ b/stoatgw/decisions/state/context.py
@@ -99,6 +99,7 @@
 
     def open_request(self, request: Request) -> ConnectionState:
         """Count a client's request and return its state."""
+        self.slow_start.record_request(request, self.now_us)
         if not request.is_client_retry:
             self.counts.period_arrivals += 1
         return self.connections.open(request, self.now_us)
@@ -113,29 +114,26 @@
 
     def regroup_servers(self, max_report_age_us: int) -> None:
         """Bring the groups that a choice draws from up to date."""
-        self.fleet.regroup(
-            self.settings, self.slow_start, self.rng, now_us=self.now_us, max_report_age_us=max_report_age_us
-        )
+        self.fleet.regroup(self.settings, self.rng, now_us=self.now_us, max_report_age_us=max_report_age_us)
 
     def has_slow_start_capacity(self, server: ServerState, connection: ConnectionState) -> bool:
-        """Whether our part of a server's slow-start budget allows the connection."""
-        units = self.estimator.slow_start_units(server, connection, self.now_us)
-        return self.slow_start.has_capacity(server, units, self.fleet.load_per_connection, self.now_us)
+        """Whether our places in a server's slow start allow the connection."""
+        units = self.estimator.load_units(server, connection, self.now_us)
+        load = self.estimator.slow_start_load_per_connection(server, self.now_us)
+        return self.slow_start.has_capacity(server, units, load, self.now_us)
 
-    def take_slow_start_credit(self, server: ServerState, connection: ConnectionState) -> None:
-        """Take a connection from our part of a server's slow-start budget."""
-        units = self.estimator.slow_start_units(server, connection, self.now_us)
-        # One at least: setting up a light connection is work for a server in slow start as well.
-        server.slow_start_credit -= max(1.0, units)
+    def take_slow_start_place(self, server: ServerState, connection: ConnectionState) -> None:
+        """Use our place in a server's slow start, if it is in one, for a connection."""
+        units = self.estimator.load_units(server, connection, self.now_us)
+        load = self.estimator.slow_start_load_per_connection(server, self.now_us)
+        self.slow_start.take(server, units, load, self.now_us)
 
     def apply_endpoint_update(self, update: EndpointUpdate) -> bool:
         """Bring the listed servers up to date; return whether any came, went or changed its lifecycle."""
         self.subscription.record_update(update.kind, self.now_us)
         if update.kind is EndpointUpdateKind.ERROR:
             return False
-        return self.fleet.apply_update(
-            update, create_server=lambda endpoint: self.slow_start.create_server(endpoint, self.now_us)
-        )
+        return self.fleet.apply_update(update)
 
     def restore_session(self, event: SessionRestored) -> None:
         """Count a connection that was established before this balancer started."""
--- a/stoatgw/decisions/state/fleet_state.py
+++ b/stoatgw/decisions/state/fleet_state.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from stoatgw.decisions.events import AttemptStatus, Endpoint, EndpointUpdate, EndpointUpdateKind, Lifecycle
 from stoatgw.decisions.settings import Settings
 from stoatgw.decisions.state.server_health import ServerHealth
 from stoatgw.decisions.state.server_state import ServerState
-from stoatgw.decisions.state.slow_start import SlowStartLimiter
 
 UNRESPONSIVE = (AttemptStatus.DIAL_FAILED, AttemptStatus.EXPIRED, AttemptStatus.DROPPED)
 RESPONSIVE = (AttemptStatus.DELIVERED, AttemptStatus.SHED, AttemptStatus.APP_ERROR)
@@ -28,7 +26,7 @@
     ready: list[ServerState] = field(default_factory=list)  # active, in a random order
     local: list[ServerState] = field(default_factory=list)  # ready and warm, of the own zone
     remote: list[ServerState] = field(default_factory=list)  # ready and warm, of the other zones
-    warming_up: list[ServerState] = field(default_factory=list)  # in slow start, and this balancer may fill them
+    warming_up: list[ServerState] = field(default_factory=list)  # in slow start
     recently_reported: dict[str, ServerState] = field(default_factory=dict)  # warm; entries may have aged
     honors_ejection: bool = True  # not in panic mode
     suspected_since_us: dict[int, int] = field(default_factory=dict)  # by zone; 0 if not suspected
@@ -36,7 +34,7 @@
     kind_load_per_connection: dict[int, float] = field(default_factory=dict)  # mean of each machine kind
     kind_connections_by_weight: dict[int, float] = field(default_factory=dict)  # mean of connections * live weight
 
-    def apply_update(self, update: EndpointUpdate, create_server: Callable[[Endpoint], ServerState]) -> bool:
+    def apply_update(self, update: EndpointUpdate) -> bool:
         """Bring the servers up to date; return whether any came, went or changed its lifecycle."""
         has_changed = update.kind is not EndpointUpdateKind.DELTA
         if has_changed:
@@ -50,7 +48,7 @@
                 server.endpoint = endpoint
             else:
                 has_changed = True
-                self.servers[endpoint.name] = create_server(endpoint)
+                self.servers[endpoint.name] = ServerState(endpoint)
             if endpoint.lifecycle is Lifecycle.REMOVED:
                 del self.servers[endpoint.name]
         return has_changed
@@ -92,7 +90,6 @@
     def regroup(
         self,
         settings: Settings,
-        slow_start: SlowStartLimiter,
         rng: random.Random,
         *,
         now_us: int,
@@ -106,11 +103,8 @@
         self.warming_up = []
         self.recently_reported = {}
         for server in self.ready:
-            warm_up_fraction = server.warm_up_fraction(now_us, settings)
-            if warm_up_fraction < 1.0:
-                budget = slow_start.budget(warm_up_fraction, self.load_per_connection)
-                if server.slow_start_rank < budget.balancers:
-                    self.warming_up.append(server)
+            if server.warm_up_fraction(now_us, settings) < 1.0:
+                self.warming_up.append(server)
                 continue
             group = self.local if server.endpoint.zone == settings.zone else self.remote
             group.append(server)
--- a/stoatgw/decisions/state/load_estimator.py
+++ b/stoatgw/decisions/state/load_estimator.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from stoatgw.decisions.events import Lifecycle
 from stoatgw.decisions.settings import Settings
 from stoatgw.decisions.state.balancer_state import PERIOD_US, BalancerState
@@ -16,6 +18,7 @@
 REPORT_DELAY_US = 700_000  # a report shows its server as it was at most this long before
 LATENCY_VALID_US = 1_500_000  # an observed message latency counts this long
 OVERLOAD_VALID_US = 3_000_000  # a reported load over 1 counts this long
+CERTAIN_CONNECTIONS = 4.0  # a report of so many weighs as much as the mean of the server's kind
 NEW_GROUP_UNITS = 3.0  # what a group new to a warm server weighs, with its connection
 
 
@@ -134,11 +137,17 @@
         certainty = min(1.0, 2 * server.own_connections / fair_part)
         return connection.load_units + 1.0 + (NEW_GROUP_UNITS - 1.0) * certainty
 
-    def slow_start_units(self, server: ServerState, connection: ConnectionState, now_us: int) -> float:
-        """Return what a connection takes from the server's slow-start budget.
+    def slow_start_load_per_connection(self, server: ServerState, now_us: int) -> float | None:
+        """Return the load that one connection may at least be taken for on a server in slow start; None: not known.
 
-        In a large fleet one balancer knows few of its groups, and the mean load has theirs in it.
+        Machines of one kind differ: the least capacity that the fleet's mean and the server's own reports suggest.
         """
-        if self._is_large_fleet:
-            return connection.load_units
-        return self.load_units(server, connection, now_us)
+        fleet = self._fleet
+        if not fleet.load_per_connection:
+            return None
+        load = fleet.kind_load_per_connection.get(server.endpoint.machine_kind, fleet.load_per_connection)
+        load = max(load, (load + fleet.load_per_connection) / 2)
+        count = server.reported_connections or 0.0
+        own_load = self.load_per_connection(server, now_us)
+        certainty = count / (count + CERTAIN_CONNECTIONS)
+        return max(load, load * math.pow(own_load / load, certainty))
--- a/stoatgw/decisions/state/server_state.py
+++ b/stoatgw/decisions/state/server_state.py
@@ -18,9 +18,8 @@
     """Observations of one server process; a restarted process is a new server."""
 
     endpoint: Endpoint
-    slow_start_refilled_us: int  # when `slow_start_credit` was last brought up to date
-    slow_start_rank: int  # this balancer's rank among those that may fill it during slow start
-    slow_start_credit: float = 0.0  # connections that may be sent during slow start
+    slow_start_place: int = -1  # the last place in its slow start that this balancer has used
+    slow_start_units_left: float = 0.0  # load units that this place still allows
     load_samples: list[tuple[int, float]] = field(default_factory=list)  # (time, load per connection)
     mean_load_per_connection: float = 0.0  # of the samples
     reported_connections: float | None = None  # by the last report, of all balancers
@@ -42,10 +41,14 @@
     last_failure_us: int = 0  # when it last failed to respond
     restart_observed_us: int = 0  # when it responded again without its connections
 
+    def start_us(self, now_us: int) -> int:
+        """Return when its process started, as listed or as observed lately; 0: long ago."""
+        is_restart_observed = self.restart_observed_us > now_us - RESTART_LISTED_US
+        return self.restart_observed_us if is_restart_observed else self.endpoint.started_us
+
     def warm_up_fraction(self, now_us: int, settings: Settings) -> float:
         """Return the part of its full capacity that it surely has by now, from `settings.cold_from` to 1."""
-        is_restart_observed = self.restart_observed_us > now_us - RESTART_LISTED_US
-        start_us = self.restart_observed_us if is_restart_observed else self.endpoint.started_us
+        start_us = self.start_us(now_us)
         age_us = now_us - start_us
         if start_us <= 0 or age_us >= settings.cold_us:
             return 1.0
@@ -61,7 +64,8 @@
     def record_restart(self, now_us: int) -> None:
         """Begin a slow start, seconds before the endpoint list shows the restart."""
         self.restart_observed_us = now_us
-        self.slow_start_refilled_us = now_us
+        self.slow_start_place = -1
+        self.slow_start_units_left = 0.0
 
     def record_health_check(self, *, has_responded: bool) -> None:
         """Count the health checks that failed in a row."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,8 +22,7 @@
     SessionRestored,
     Subscribe,
 )
-from stoatgw.decisions.state.slow_start import SETUP_US
-from tests.fleet import SECOND, T0, BalancerHarness, draining, settings
+from tests.fleet import SECOND, SETUP_US, T0, BalancerHarness, draining, settings
 
 R = "a" * 16
 
