--- a/stoatgw/decisions/server_selection.py
+++ b/stoatgw/decisions/server_selection.py
@@ -35,9 +35,10 @@
     wanted = max(MIN_COMPARED, len(fleet.ready) // context.settings.balancers)
     # Those warming up are few for each balancer, and a random draw would hardly ever meet them.
     for group in (fleet.warming_up, fleet.local, fleet.remote):
-        if group is fleet.warming_up:
+        is_warming_up = group is fleet.warming_up
+        if is_warming_up and context.slow_start_places is not None:
             drawn = draw_with_slow_start_capacity(context, connection)
-        elif needs_recent_report:
+        elif needs_recent_report and not is_warming_up:
             drawn = draw_recently_reported(context, is_local=group is fleet.local)
         else:
             drawn = draw(context, group)
@@ -45,6 +46,9 @@
         found = 0
         for rank, server in _rank_passing(context, connection, drawn, margin, excluded, is_remote=is_remote):
             if rank < best_rank:
+                # Sent too many connections, a server that is warming up falls over for good.
+                if is_warming_up and not context.has_slow_start_capacity(server, connection):
+                    continue
                 best = server
                 best_rank = rank
             is_last_choice, is_over_spill_load, _, _ = rank
--- a/stoatgw/decisions/state/fleet_state.py
+++ b/stoatgw/decisions/state/fleet_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from stoatgw.decisions.events import AttemptStatus, Endpoint, EndpointUpdate, EndpointUpdateKind, Lifecycle
@@ -26,7 +27,7 @@
     ready: list[ServerState] = field(default_factory=list)  # active, in a random order
     local: list[ServerState] = field(default_factory=list)  # ready and warm, of the own zone
     remote: list[ServerState] = field(default_factory=list)  # ready and warm, of the other zones
-    warming_up: list[ServerState] = field(default_factory=list)  # in slow start
+    warming_up: list[ServerState] = field(default_factory=list)  # in slow start, and this balancer may fill them
     recently_reported: dict[str, ServerState] = field(default_factory=dict)  # warm; entries may have aged
     honors_ejection: bool = True  # not in panic mode
     suspected_since_us: dict[int, int] = field(default_factory=dict)  # by zone; 0 if not suspected
@@ -34,7 +35,7 @@
     kind_load_per_connection: dict[int, float] = field(default_factory=dict)  # mean of each machine kind
     kind_connections_by_weight: dict[int, float] = field(default_factory=dict)  # mean of connections * live weight
 
-    def apply_update(self, update: EndpointUpdate) -> bool:
+    def apply_update(self, update: EndpointUpdate, now_us: int) -> bool:
         """Bring the servers up to date; return whether any came, went or changed its lifecycle."""
         has_changed = update.kind is not EndpointUpdateKind.DELTA
         if has_changed:
@@ -48,7 +49,7 @@
                 server.endpoint = endpoint
             else:
                 has_changed = True
-                self.servers[endpoint.name] = ServerState(endpoint)
+                self.servers[endpoint.name] = ServerState(endpoint, slow_start_refilled_us=now_us)
             if endpoint.lifecycle is Lifecycle.REMOVED:
                 del self.servers[endpoint.name]
         return has_changed
@@ -91,6 +92,7 @@
         self,
         settings: Settings,
         rng: random.Random,
+        may_fill: Callable[[ServerState], bool],
         *,
         now_us: int,
         max_report_age_us: int,
@@ -104,7 +106,8 @@
         self.recently_reported = {}
         for server in self.ready:
             if server.warm_up_fraction(now_us, settings) < 1.0:
-                self.warming_up.append(server)
+                if may_fill(server):
+                    self.warming_up.append(server)
                 continue
             group = self.local if server.endpoint.zone == settings.zone else self.remote
             group.append(server)
--- a/stoatgw/decisions/state/server_state.py
+++ b/stoatgw/decisions/state/server_state.py
@@ -18,6 +18,8 @@
     """Observations of one server process; a restarted process is a new server."""
 
     endpoint: Endpoint
+    slow_start_refilled_us: int  # when `slow_start_credit` was last brought up to date
+    slow_start_credit: float = 0.0  # connections that may be sent during slow start, in a small fleet
     slow_start_place: int = -1  # the last place in its slow start that this balancer has used
     slow_start_units_left: float = 0.0  # load units that this place still allows
     load_samples: list[tuple[int, float]] = field(default_factory=list)  # (time, load per connection)
@@ -64,6 +66,7 @@
     def record_restart(self, now_us: int) -> None:
         """Begin a slow start, seconds before the endpoint list shows the restart."""
         self.restart_observed_us = now_us
+        self.slow_start_refilled_us = now_us
         self.slow_start_place = -1
         self.slow_start_units_left = 0.0
 
--- a/stoatgw/decisions/state/slow_start.py
+++ b/stoatgw/decisions/state/slow_start.py
@@ -1,149 +1,77 @@
-"""Slow start: when one balancer may send a connection to a server that has just started.
+"""Slow start in a small fleet: how many connections one balancer may send to a server that has just started.
 
-The settings say what a server in slow start bears within a window from all balancers together, which share nothing.
-Each server therefore has a schedule of places that all balancers compute alike from its start: a place belongs to one
-balancer, is good for one connection and stays open until a number of later places have begun. As many places touch
-any window as the budget has connections, whoever asks and whenever.
+The settings say what a server in slow start bears from all balancers together. Each balancer takes its own part of that
+as a token bucket, in connections of mean load. Too much of it overloads the server for good. Large fleets follow
+`slow_start_places`.
 """
 
 from __future__ import annotations
 
-import zlib
-from bisect import bisect_right
-from collections.abc import Iterator
+import random
 from dataclasses import dataclass
-from functools import cache
 
-from stoatgw.decisions.events import Request
 from stoatgw.decisions.settings import Settings
 from stoatgw.decisions.state.server_state import ServerState
 
+USED_BUDGET_PART = 0.5  # of the budget that the settings allow
 NEW_GROUP_UNITS = 1.0  # what a server in slow start pays for a new group
-EXCESS_UNITS = 3.0  # load units over the budget that a server bears
-MAX_STARTS = 64  # places that begin within a window
-START_BITS = 6
-MAX_REQUEST_INTERVAL_US = 10_000_000
-INTERVAL_SMOOTHING = 0.2  # weight of the last interval in the mean
-GOLDEN_RATIO = 2_654_435_769  # as a part of 2**32: its multiples spread evenly over the balancers
-HASH_MASK = 0xFFFF_FFFF
+SETUP_US = 80_000  # work of a set-up, and half as much again: servers fell at 22 to 47 a second, none at 12
 
 
 @dataclass(frozen=True, slots=True)
-class PlaceSchedule:
-    """How the places of a server follow one another.
+class SlowStartBudget:
+    """Connections that all balancers which fill a server may send to it."""
 
-    Attributes:
-        starts: Places that begin within a window; 0 for one in every second window.
-        open_places: The latest places that are still open at any time.
-    """
-
-    starts: int
-    open_places: int
-
-
-@cache
-def start_offsets(starts: int) -> list[int]:
-    """Return when the places of a window begin, in MAX_STARTS parts of it; fewer places begin at a subset of these."""
-    reversed_bits = [int(f"{index:0{START_BITS}b}"[::-1], 2) for index in range(starts)]
-    return sorted(reversed_bits)
+    per_us: float
+    per_window: float
+    balancers: int  # how many fill it
 
 
 class SlowStartLimiter:
     """The settings' budget as one of their balancers follows it."""
 
-    def __init__(self, settings: Settings, *, is_large_fleet: bool) -> None:
-        """Create a limiter that has seen no request; in a small fleet each balancer sees many in a window."""
+    def __init__(self, settings: Settings) -> None:
+        """Create a limiter."""
         self._settings = settings
-        self._is_large_fleet = is_large_fleet
-        self._window_us = max(1, settings.fall_us)
-        self._has_groups = False
-        self._last_request_us = 0
-        self._request_interval_us = float(MAX_REQUEST_INTERVAL_US)  # mean
-
-    def record_request(self, request: Request, now_us: int) -> None:
-        """Note a request: how often they come, and whether they have groups."""
-        interval_us = min(MAX_REQUEST_INTERVAL_US, now_us - self._last_request_us)
-        self._request_interval_us += INTERVAL_SMOOTHING * (interval_us - self._request_interval_us)
-        self._last_request_us = now_us
-        self._has_groups = self._has_groups or (self._settings.groups and request.group is not None)
+        self._max_connection_units = 1.0 + NEW_GROUP_UNITS if settings.groups else 1.0
 
-    def has_capacity(self, server: ServerState, units: float, load_per_connection: float | None, now_us: int) -> bool:
-        """Return whether a connection of so many load units may be sent to the server.
+    def may_fill(self, server: ServerState, load_per_connection: float | None, now_us: int) -> bool:
+        """Return whether this balancer is one of those that share a server's budget."""
+        budget = self.budget(server.warm_up_fraction(now_us, self._settings), load_per_connection)
+        rank = (random.Random(server.endpoint.name).randrange(1 << 30) + self._settings.rank) % self._settings.balancers
+        return rank < budget.balancers
 
-        `load_per_connection` is what a connection takes of the server's full capacity, None while it is not known.
-        """
-        budget = self._budget(server, load_per_connection, now_us)
-        if units > max(self._place_units, budget / 2):
-            return False
-        if self._open_place(server, budget, now_us) is not None:
-            return True
-        return max(1.0, units) <= server.slow_start_units_left and self._is_used_place_open(server, budget, now_us)
-
-    def take(self, server: ServerState, units: float, load_per_connection: float | None, now_us: int) -> None:
-        """Take a connection of so many load units from the server's budget."""
-        if server.warm_up_fraction(now_us, self._settings) >= 1.0:
-            return
-        place = self._open_place(server, self._budget(server, load_per_connection, now_us), now_us)
-        if place is not None:
-            server.slow_start_place = place
-            server.slow_start_units_left = self._place_units
-        server.slow_start_units_left -= max(1.0, units)
-
-    @property
-    def _place_units(self) -> float:
-        return 1.0 + NEW_GROUP_UNITS if self._has_groups else 1.0
-
-    def _budget(self, server: ServerState, load_per_connection: float | None, now_us: int) -> float:
-        """Return how many connections all balancers may send to the server within a window."""
+    def budget(self, warm_up_fraction: float, load_per_connection: float | None) -> SlowStartBudget:
+        """Return the budget of a server so far warmed up; the mean load is None while it is not known."""
         settings = self._settings
-        if not load_per_connection:
-            return 0.0
-        warm_up_fraction = server.warm_up_fraction(now_us, settings)
-        warm_up_load = load_per_connection * max(1, settings.cold_us)
-        return settings.fall_multiple * warm_up_fraction * self._window_us / warm_up_load
+        per_us = 1.0 / max(1, settings.fall_us)
+        if load_per_connection:
+            work_us = SETUP_US + load_per_connection * settings.fall_us
+            per_us = USED_BUDGET_PART * settings.fall_multiple * warm_up_fraction / work_us
+        # A part too small for one connection is no use: as many share it as get one in a window each.
+        sharing = max(1, int(2 * per_us * settings.fall_us / self._max_connection_units))
+        balancers = min(settings.balancers, sharing)
+        return SlowStartBudget(per_us, per_window=per_us * settings.fall_us, balancers=balancers)
 
-    def _schedule(self, budget: float) -> PlaceSchedule:
-        """Divide the budget, and what is allowed beyond it, into places that begin and places that stay open.
+    def has_capacity(self, server: ServerState, units: float, load_per_connection: float | None, now_us: int) -> bool:
+        """Refill a server's bucket; return whether a connection of so many load units may be sent to it.
 
-        Where requests are rare most places stay open, where they are frequent most begin within the window.
+        A heavy connection may take the bucket below zero.
         """
-        place_units = self._place_units
-        max_places = int((budget + EXCESS_UNITS) / place_units)
-        if max_places < 2:
-            return PlaceSchedule(starts=0, open_places=1)
-        open_places = 1
-        if self._is_large_fleet:
-            rarity = self._request_interval_us / (self._request_interval_us + self._window_us)
-            open_places = min(max_places - 1, max(1, round(max_places * rarity)))
-        max_starts = max(1, int((budget + place_units - 1.0) / place_units))
-        return PlaceSchedule(min(MAX_STARTS, max_starts, max_places - open_places), open_places)
-
-    def _open_place(self, server: ServerState, budget: float, now_us: int) -> int | None:
-        """Return the latest open place of this balancer that comes after those that it has used."""
-        settings = self._settings
-        server_hash = zlib.crc32(server.endpoint.name.encode())
-        for place in self._open_places(server, budget, now_us):
-            if place <= server.slow_start_place:
-                return None
-            place_hash = (place * GOLDEN_RATIO + server_hash) & HASH_MASK
-            if place_hash * settings.balancers >> 32 == settings.rank % settings.balancers:
-                return place
-        return None
-
-    def _is_used_place_open(self, server: ServerState, budget: float, now_us: int) -> bool:
-        return server.slow_start_place in self._open_places(server, budget, now_us)
-
-    def _open_places(self, server: ServerState, budget: float, now_us: int) -> Iterator[int]:
-        """Give the numbers of the places that are open, the latest first."""
-        schedule = self._schedule(budget)
-        age_us = max(0, now_us - server.start_us(now_us))
-        window, offset_us = divmod(age_us, self._window_us)
-        if schedule.starts == 0:
-            if window % 2 == 0:
-                yield window * MAX_STARTS
-            return
-        offsets = start_offsets(schedule.starts)
-        begun = window * schedule.starts + bisect_right(offsets, offset_us * MAX_STARTS // self._window_us)
-        for index in range(begun - 1, max(-1, begun - 1 - schedule.open_places), -1):
-            window, number = divmod(index, schedule.starts)
-            yield window * MAX_STARTS + offsets[number]
+        warm_up_fraction = server.warm_up_fraction(now_us, self._settings)
+        elapsed_us = now_us - server.slow_start_refilled_us
+        budget = self.budget(warm_up_fraction, load_per_connection)
+        server.slow_start_refilled_us = now_us
+        max_credit = self._max_credit(budget)
+        credit = server.slow_start_credit + elapsed_us * budget.per_us / budget.balancers
+        server.slow_start_credit = min(max_credit, credit)
+        is_affordable = server.slow_start_credit >= min(max_credit, max(1.0, units))
+        return is_affordable and units <= max(max_credit, budget.per_window)
+
+    def take(self, server: ServerState, units: float) -> None:
+        """Take a connection of so many load units from a server's bucket."""
+        # One at least: setting up a light connection is work for a server in slow start as well.
+        server.slow_start_credit -= max(1.0, units)
+
+    def _max_credit(self, budget: SlowStartBudget) -> float:
+        return max(self._max_connection_units, budget.per_window / budget.balancers)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -30,7 +30,6 @@
 
 A = TypeVar("A", bound=Action)
 SECOND = 1_000_000
-SETUP_US = 80_000  # work of a set-up, and half as much again: servers fell at 22 to 47 a second, none at 12
 T0 = 1_000 * SECOND
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,7 +22,8 @@
     SessionRestored,
     Subscribe,
 )
-from tests.fleet import SECOND, SETUP_US, T0, BalancerHarness, draining, settings
+from stoatgw.decisions.state.slow_start import SETUP_US
+from tests.fleet import SECOND, T0, BalancerHarness, draining, settings
 
 R = "a" * 16
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -25,7 +25,8 @@
 from stoatgw.decisions.state.connection_state import ConnectionState
 from stoatgw.decisions.state.load_estimator import LoadEstimator
 from stoatgw.decisions.state.server_state import ServerState
-from tests.fleet import SECOND, SETUP_US, T0, BalancerHarness, settings
+from stoatgw.decisions.state.slow_start import SETUP_US
+from tests.fleet import SECOND, T0, BalancerHarness, settings
 
 
 def large(rank: int = 0, balancers: int = 200, servers: int = 90, **changes: object) -> BalancerHarness:
