--- a/stoatgw/decisions/server_selection.py
+++ b/stoatgw/decisions/server_selection.py
@@ -112,14 +112,14 @@
     return profile.key_scope is not KeyScope.ZONE or server.endpoint.zone == first_run.endpoint.zone
 
 
-def draw(context: DecisionContext, servers: list[ServerState], count: int = MAX_EXAMINED) -> list[ServerState]:
+def draw(context: DecisionContext, servers: list[ServerState], size: int = MAX_EXAMINED) -> list[ServerState]:
     """Return as many servers as a decision examines, from a random place in the list on."""
     first = int(context.rng.random() * len(servers))
-    return [*servers[first : first + count], *servers[: min(first, count)]][:count]
+    return [*servers[first : first + size], *servers[: min(first, size)]][:size]
 
 
 def draw_with_slow_start_capacity(context: DecisionContext, connection: ConnectionState) -> list[ServerState]:
-    """Return some servers in slow start that may be sent the connection now: sent too many, they fall over for good."""
+    """Return some servers in slow start that may be sent the connection now."""
     drawn = draw(context, context.fleet.warming_up, MAX_WARMING_UP_EXAMINED)
     return [server for server in drawn if context.has_slow_start_capacity(server, connection)][:MAX_EXAMINED]
 
--- a/stoatgw/decisions/state/load_estimator.py
+++ b/stoatgw/decisions/state/load_estimator.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from stoatgw.decisions.events import Lifecycle
 from stoatgw.decisions.settings import Settings
 from stoatgw.decisions.state.balancer_state import PERIOD_US, BalancerState
@@ -150,4 +148,4 @@
         count = server.reported_connections or 0.0
         own_load = self.load_per_connection(server, now_us)
         certainty = count / (count + CERTAIN_CONNECTIONS)
-        return max(load, load * math.pow(own_load / load, certainty))
+        return max(load, load * float((own_load / load) ** certainty))
--- a/stoatgw/decisions/state/server_state.py
+++ b/stoatgw/decisions/state/server_state.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from dataclasses import dataclass, field
 
 from stoatgw.decisions.events import Endpoint
 from stoatgw.decisions.settings import Settings
 
+MAX_NAME_OFFSET = 1 << 30
 NEVER_US = -(10**9)  # a time long before any clock's
 RESTART_LISTED_US = 8_000_000  # an observed restart counts this long: the endpoint list shows it by then
 RESTART_MIN_CONNECTIONS = 4  # a server with fewer is not taken for restarted when some are missing
@@ -22,6 +24,7 @@
     slow_start_credit: float = 0.0  # connections that may be sent during slow start, in a small fleet
     slow_start_place: int = -1  # the last place in its slow start that this balancer has used
     slow_start_units_left: float = 0.0  # load units that this place still allows
+    name_offset: int = field(init=False)  # shifts the ranks of the balancers that fill it
     load_samples: list[tuple[int, float]] = field(default_factory=list)  # (time, load per connection)
     mean_load_per_connection: float = 0.0  # of the samples
     reported_connections: float | None = None  # by the last report, of all balancers
@@ -43,6 +46,9 @@
     last_failure_us: int = 0  # when it last failed to respond
     restart_observed_us: int = 0  # when it responded again without its connections
 
+    def __post_init__(self) -> None:
+        self.name_offset = random.Random(self.endpoint.name).randrange(MAX_NAME_OFFSET)
+
     def start_us(self, now_us: int) -> int:
         """Return when its process started, as listed or as observed lately; 0: long ago."""
         is_restart_observed = self.restart_observed_us > now_us - RESTART_LISTED_US
--- a/stoatgw/decisions/state/slow_start.py
+++ b/stoatgw/decisions/state/slow_start.py
@@ -7,25 +7,16 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass
-from functools import lru_cache
 
 from stoatgw.decisions.settings import Settings
 from stoatgw.decisions.state.server_state import ServerState
 
 USED_BUDGET_PART = 0.5  # of the budget that the settings allow
 NEW_GROUP_UNITS = 1.0  # what a server in slow start pays for a new group
-MAX_CACHED_OFFSETS = 4096  # servers
 SETUP_US = 80_000  # work of a set-up, and half as much again: servers fell at 22 to 47 a second, none at 12
 
 
-@lru_cache(maxsize=MAX_CACHED_OFFSETS)
-def name_offset(name: str) -> int:
-    """Return by how much a server's name shifts the ranks of those that fill it."""
-    return random.Random(name).randrange(1 << 30)
-
-
 @dataclass(frozen=True, slots=True)
 class SlowStartBudget:
     """Connections that all balancers which fill a server may send to it."""
@@ -46,7 +37,7 @@
     def may_fill(self, server: ServerState, load_per_connection: float | None, now_us: int) -> bool:
         """Return whether this balancer is one of those that share a server's budget."""
         budget = self.budget(server.warm_up_fraction(now_us, self._settings), load_per_connection)
-        rank = (name_offset(server.endpoint.name) + self._settings.rank) % self._settings.balancers
+        rank = (server.name_offset + self._settings.rank) % self._settings.balancers
         return rank < budget.balancers
 
     def budget(self, warm_up_fraction: float, load_per_connection: float | None) -> SlowStartBudget:
--- a/stoatgw/decisions/state/slow_start_places.py
+++ b/stoatgw/decisions/state/slow_start_places.py
@@ -8,11 +8,8 @@
 
 from __future__ import annotations
 
-import zlib
-from bisect import bisect_right
 from collections.abc import Iterator
 from dataclasses import dataclass
-from functools import cache
 
 from stoatgw.decisions.events import Request
 from stoatgw.decisions.settings import Settings
@@ -41,11 +38,9 @@
     open_places: int
 
 
-@cache
-def start_offsets(starts: int) -> list[int]:
-    """Return when the places of a window begin, in MAX_STARTS parts of it; fewer places begin at a subset of these."""
-    reversed_bits = [int(f"{index:0{START_BITS}b}"[::-1], 2) for index in range(starts)]
-    return sorted(reversed_bits)
+# When the places of a window begin, by their number, in MAX_STARTS parts of it: fewer begin at a subset.
+_REVERSED_BITS = [int(f"{index:0{START_BITS}b}"[::-1], 2) for index in range(MAX_STARTS)]
+START_OFFSETS = [sorted(_REVERSED_BITS[:starts]) for starts in range(MAX_STARTS + 1)]
 
 
 class SlowStartPlaces:
@@ -118,11 +113,10 @@
     def _open_place(self, server: ServerState, budget: float, now_us: int) -> int | None:
         """Return the latest open place of this balancer that comes after those that it has used."""
         settings = self._settings
-        server_hash = zlib.crc32(server.endpoint.name.encode())
         for place in self._open_places(server, budget, now_us):
             if place <= server.slow_start_place:
                 return None
-            place_hash = (place * GOLDEN_RATIO + server_hash) & HASH_MASK
+            place_hash = (place * GOLDEN_RATIO + 4 * server.name_offset) & HASH_MASK
             if place_hash * settings.balancers >> 32 == settings.rank % settings.balancers:
                 return place
         return None
@@ -139,8 +133,9 @@
             if window % 2 == 0:
                 yield window * MAX_STARTS
             return
-        offsets = start_offsets(schedule.starts)
-        begun = window * schedule.starts + bisect_right(offsets, offset_us * MAX_STARTS // self._window_us)
+        offsets = START_OFFSETS[schedule.starts]
+        part = offset_us * MAX_STARTS // self._window_us
+        begun = window * schedule.starts + sum(offset <= part for offset in offsets)
         for index in range(begun - 1, max(-1, begun - 1 - schedule.open_places), -1):
             window, number = divmod(index, schedule.starts)
             yield window * MAX_STARTS + offsets[number]
