Review case 1: three proxies push over a warming server when clients come again

The case shows that the slow-start budget of eight proxies or fewer allows more than the settings do: it counts some 0.1 s a connection where the server's warm-up allows one in 0.6 s, and lets each proxy save up another window's budget.

A server ends and comes back cold, which all proxies are told of; 18 s later 55% of the clients drop and come again within a second.

--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -60,10 +60,13 @@
     rng: random.Random
     life_s: tuple[float, float] = (26.0, 60.0)
     view_share: float = 0.25  # of class clinic-view; the others are of class patient-session
+    groups: int = 12
     held: dict[str, int] = field(default_factory=dict)  # established connections: the proxy's port by request id
     moved: set[str] = field(default_factory=set)
     ended: list[tuple[float, str, str]] = field(default_factory=list)  # how each connection ended
     tasks: set[asyncio.Task] = field(default_factory=set)
+    writers: dict[str, asyncio.StreamWriter] = field(default_factory=dict)
+    dropped: dict[str, float] = field(default_factory=dict)  # when a client that dropped comes again, by request id
 
     async def arrive(self, per_s: float) -> None:
         """Let clients come until cancelled."""
@@ -71,6 +74,17 @@
             self.spawn()
             await asyncio.sleep(self.rng.expovariate(per_s))
 
+    def drop(self, share: float, within_s: float) -> int:
+        """Let a share of the clients drop their connections and come again within a time; return how many."""
+        chosen = self.rng.sample(sorted(self.held), int(len(self.held) * share))
+        loop = asyncio.get_running_loop()
+        for request_id in chosen:
+            delay = self.rng.uniform(0.0, within_s)
+            self.dropped[request_id] = self.record.now() + delay
+            self.writers[request_id].close()
+        loop.call_later(within_s, self.record.write, "all clients that dropped have come again")
+        return len(chosen)
+
     def spawn(self) -> None:
         """Let one client come now."""
         task = asyncio.get_running_loop().create_task(self._live())
@@ -82,27 +96,32 @@
         again = ""
         while self.record.now() < until:
             port = self.front.pick(self.rng)
+            wait = self.rng.uniform(0.13, 0.82)
             if port is not None:
-                await self._connect(port, until, again)
+                back = self.dropped.pop(await self._connect(port, until, again), None)
                 again = ",again=1"
-            await asyncio.sleep(self.rng.uniform(0.13, 0.82))
+                wait = wait if back is None else max(0.0, back - self.record.now())
+            await asyncio.sleep(wait)
 
-    async def _connect(self, port: int, until: float, again: str) -> None:
+    async def _connect(self, port: int, until: float, again: str) -> str:
         request_id = f"{self.rng.getrandbits(64):016x}"
         view = self.rng.random() < self.view_share
         name = "clinic-view" if view else "patient-session"
         load = self.rng.uniform(4, 8) if view else 1.0
-        group = f"{self.rng.randrange(12):016x}"
+        group = f"{self.rng.randrange(self.groups):016x}"
         line = f"OPEN {request_id} {self.rng.getrandbits(60):x} c={name},d=2000,g={group},h={load * 20000:.0f}{again}"
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
         except OSError as error:
             self._end(request_id, f"not connected: {error}")
-            return
+            return request_id
+        self.writers[request_id] = writer
         with contextlib.suppress(OSError, ConnectionError):
             await self._serve(request_id, port, line, until, reader, writer)
         self.held.pop(request_id, None)
+        self.writers.pop(request_id, None)
         writer.close()
+        return request_id
 
     async def _serve(self, request_id, port, line, until, reader, writer) -> None:
         self.record.write(f"client -> port {port} {line}")
@@ -132,10 +151,12 @@
                     self._end(request_id, "MOVE")
                     return
                 if not data:
-                    self._end(request_id, "left" if self.record.now() >= until else "cut off without MOVE")
+                    has_left = self.record.now() >= until or request_id in self.dropped
+                    self._end(request_id, "left" if has_left else "cut off without MOVE")
                     return
         except (OSError, ConnectionError) as error:
-            self._end(request_id, f"cut off without MOVE: {error}")
+            has_left = request_id in self.dropped
+            self._end(request_id, "left" if has_left else f"cut off without MOVE: {error}")
         finally:
             ticker.cancel()
 
--- a/review/standins/process.py
+++ b/review/standins/process.py
@@ -35,6 +35,7 @@
     def __init__(self, name: str, command: str, env: dict[str, str], folder: Path, record: Record, fds=()) -> None:
         inherited = {key: value for key, value in os.environ.items() if not key.startswith(("LB_", "STOATGW_"))}
         self.name = name
+        self.port = 0  # where clients connect, if the caller sets it
         self.log = folder / f"{name}.log"
         self._record = record
         with self.log.open("wb") as output:
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -21,14 +21,17 @@
     fall_multiple: float = 4.0
     fall_s: float = 1.0
 
+    def fraction(self, now: float) -> float:
+        """Return what part of its capacity the server has now: it rises evenly, the slowest that the settings allow."""
+        return min(1.0, self.cold_from + (1 - self.cold_from) * (now - self.started) / self.cold_s)
+
     def allowed(self, capacity: int, now: float) -> tuple[float, float]:
         """Return N, what the settings allow within `fall_s` now, and the number of requests with the slack.
 
         Capacity is the rate of new connections whose load fills all cores; a cold server can take them no faster than
         fills it over its warm-up.
         """
-        fraction = min(1.0, self.cold_from + (1 - self.cold_from) * (now - self.started) / self.cold_s)
-        allowed = self.fall_multiple * fraction * capacity / self.cold_s * self.fall_s
+        allowed = self.fall_multiple * self.fraction(now) * capacity / self.cold_s * self.fall_s
         return allowed, allowed + 3 * allowed**0.5 + 3  # N is under 30 here
 
 
@@ -123,7 +126,8 @@
     def _report(self, words: str) -> bytes:
         if words == "PING":
             return b"PONG\r\n"
-        load = len(self.held) / self.capacity
+        fraction = self.cold.fraction(self.record.now()) if self.cold is not None else 1.0
+        load = len(self.held) / (self.capacity * fraction)  # "load asked of the server over what it can do"
         report = f"eps=0,inflight={len(self.held)},util={min(1.0, load):.3f},x0={load:.3f}"
         return f"PONG {report}\r\n".encode()
 
