--- a/review/standins-2/counted_twice.py
+++ b/review/standins-2/counted_twice.py
@@ -94,7 +94,7 @@
         client = Client(place, f"client-{proxy.name}-{index // PROXIES}", "c=patient-session")
         clients[proxy.name].append(client)
         place.spawn(client.run(proxy.port))
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.2)
     staff = Staff(place, servers, proxies, discovery.tell)
     place.spawn(staff.run(engine))
 
--- a/review/standins-2/drain_then_restart.py
+++ b/review/standins-2/drain_then_restart.py
@@ -10,6 +10,7 @@
 from standins import BROKEN, HELD, CaseError, Client, Discovery, Place, Proxy, SessionServer, config, main, settings
 
 ZONES = ["dc-putrajaya", "dc-shah-alam", "dc-seremban"]
+TENANTS = ["selangor", "johor", "sabah", "perak", "kedah", "kelantan"]
 CLIENTS = 60
 TERM_AFTER_S = 2.0
 MOVED_AFTER_S = 4.05  # the page: 4 s after the call; every time limit is 50 ms longer
@@ -33,7 +34,12 @@
         "kinds": ["batch-a", "batch-b"],
         "layers": ["sesi-servers"],
         "profiles": profiles,
-        "bounds": base["bounds"] | {"max_attempts": 3, "retry_after": False, "dial_timeout_us": 200_000},
+        "tenants": [{"name": name} for name in TENANTS],
+        "over_share_worth": 0.05,
+        "clients": {"marks_retry": True},
+        "prices": base["prices"] | {"probe": 0.002, "cross_zone": 0.03, "moves": 0.03},
+        "bounds": base["bounds"]
+        | {"max_attempts": 3, "retry_after": False, "dial_timeout_us": 200_000, "conn_idle_us": 60_000_000},
         "domain": base["domain"] | {"message_aim_us": [150_000.0, 60_000.0, 60_000.0]},
         "report": {"via": "on_probe", "columns": ["outstanding", "errors_per_s", "backlog", "x0"]},
         "rules": base["rules"] | rules | {"fall_us": 2_000_000},
@@ -41,6 +47,7 @@
 
 
 async def case(place: Place) -> int:
+    place.report_fields = ("inflight", "eps", "queue", "x0")
     servers = [SessionServer(place, f"s-{index:02}", ZONES[index % 3], "batch-a") for index in range(10)]
     for server in servers:
         await server.start()
@@ -52,10 +59,10 @@
     await asyncio.sleep(2.5)
     clients = []
     for index in range(CLIENTS):
-        client = Client(place, f"client-{index:02}", "c=card-next", 3000)
+        client = Client(place, f"client-{index:02}", f"c=card-next,t={TENANTS[index % 6]}", 3000)
         clients.append(client)
         place.spawn(client.run(drained.port))
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.125)  # 8 a second
     await asyncio.sleep(1.0)
     up = [client for client in clients if (client.answer or "").startswith("UP")]
     if len(up) < CLIENTS // 2:
--- a/review/standins-2/leaving_server.py
+++ b/review/standins-2/leaving_server.py
@@ -36,6 +36,8 @@
         "layers": ["map-push"],
         "balancers": PROXIES,
         "profiles": profiles,
+        "clients": {"marks_retry": True},
+        "prices": base["prices"] | {"probe": 0.0019, "cross_zone": 0.02, "moves": 0.029},
         "bounds": base["bounds"] | {"max_attempts": 5, "max_retry_after_us": 2_000_000, "cpu_us_per_s": 500_000},
         "domain": base["domain"] | domain,
         "report": {"via": "on_probe", "columns": ["throughput", "errors_per_s", "utilization", "x0"]},
@@ -44,6 +46,7 @@
 
 
 async def case(place: Place) -> int:
+    place.report_fields = ("qps", "eps", "util", "x0")
     servers = [SessionServer(place, f"s-{index:02}", ZONES[index % 4], "std-2c") for index in range(SERVERS)]
     for server in servers:
         await server.start()
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -56,6 +56,7 @@
         self.host = f"127.{1 + os.getpid() // 200 % 250}.{1 + os.getpid() % 200}.{1 + secrets.randbelow(250)}"
         self.processes: list[Process] = []
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.report_fields = ("eps", "inflight", "util", "x0")  # of dk-main; a case of another site sets its own
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
 
     def free_port(self) -> int:
@@ -265,8 +266,10 @@
             self.place.record.note(self.name, f"answers UP to {request_id}")
         elif verb in (b"PING", b"STATS"):
             held = len(self.sessions)
-            report = b" inflight=%d,util=%.3f,x0=%.3f,eps=0,qps=0" % (held, 0.02 * held, 0.02 * held)
-            writer.write(b"PONG" + (report if verb == b"STATS" else b"") + b"\r\n")
+            load = round(0.02 * held, 3)
+            values = {"inflight": held, "util": min(1.0, load), "x0": load, "eps": 0, "qps": 0, "queue": 0}
+            report = ",".join(f"{name}={values[name]}" for name in self.place.report_fields)
+            writer.write(f"PONG {report}\r\n".encode() if verb == b"STATS" else b"PONG\r\n")
         else:
             writer.write(line)
 
@@ -416,7 +419,8 @@
     async def run(self, port: int) -> None:
         note = self.place.record.note
         reader, writer = await asyncio.open_connection(self.place.host, port)
-        line = f"OPEN {self.request_id} {secrets.token_hex(8)} {self._fields},d={self._wait_ms}"
+        group = f"{secrets.randbelow(4) + 1:016x}"
+        line = f"OPEN {self.request_id} {secrets.token_hex(8)} {self._fields},d={self._wait_ms},g={group}"
         writer.write(line.encode() + b"\r\n")
         self.asked_at = time.monotonic()
         note(self.name, f"sends {line} to port {port}")
