Log what a process reads from the shared file of suspensions

Change: suspensions_read, with all servers that the file has, when a process reads another one's change.

With the new event, two real processes and calls led to cross by a lock held on the file: in 8 of 10 pairs one process lacked a server 0.6 s (three polls) later, while the file had both and no suspensions_read followed: the change is never read. Ruled out: a write that overwrites the other (the file is complete each time), and a change that is read but not applied (the event is missing).

--- a/stoatgw/suspension/service.py
+++ b/stoatgw/suspension/service.py
@@ -107,6 +107,7 @@
         except SuspensionStoreError as error:  # servers suspended in this process stay suspended
             self._log.event("suspension_read_failed", error=str(error))
             return
+        self._log.event("suspensions_read", backends=sorted(suspensions))
         self._apply(suspensions)
 
     def _apply(self, suspensions: Suspensions) -> None:
