A suspension that could not be saved outlasts the changes of the other process

Seen by operators: a server that a call had taken out in one process alone (500: the disk was full) was used again by that process as soon as the other process of the proxy changed any suspension.

Cause: SuspensionService.poll replaced all suspensions by those in the file, in which this one never was. Evidence: two services on one file, write_bytes failing with ENOSPC in the first, a call at the second: the first logs server_resumed at its next poll.

Change: unsaved suspensions are kept apart and applied with whatever the file says, until the server is resumed there or saved.

Measured: the test fails on the code before (server_resumed backend=s-1) and passes now; suspension and hot restart tests pass.

--- a/stoatgw/suspension/service.py
+++ b/stoatgw/suspension/service.py
@@ -45,6 +45,7 @@
         self._clock = clock
         self._log = log
         self._applied_version: FileVersion | None = None
+        self._unsaved: dict[str, int] = {}  # suspensions that could not be saved: they apply to this process alone
 
     def start(self) -> None:
         """Restore the suspensions from before this process started; to be called before the first endpoint list."""
@@ -62,18 +63,25 @@
         Raises:
             SuspensionNotPersistedError: It is suspended, but only in this process and until the process ends.
         """
-        now_us = self._clock.now_us()
-        suspensions = dict(self._overrides.suspensions_from(SuspensionSource.OPERATOR))
-        suspensions.setdefault(server, now_us)
         if self._store is None:
-            self._apply(suspensions)
+            self._suspend_unsaved(server)
             return
         try:
-            suspensions = self._store.suspend(server, suspensions[server])
+            suspensions = self._store.suspend(server, self._suspended_since_us(server))
         except SuspensionStoreError as error:
             self._log.event("suspension_write_failed", error=str(error))
-            self._apply(suspensions)
+            self._suspend_unsaved(server)
             raise SuspensionNotPersistedError(str(error)) from error
+        self._unsaved.pop(server, None)
+        self._apply(suspensions)
+
+    def _suspended_since_us(self, server: str) -> int:
+        return self._overrides.suspensions_from(SuspensionSource.OPERATOR).get(server, self._clock.now_us())
+
+    def _suspend_unsaved(self, server: str) -> None:
+        suspensions = self._overrides.suspensions_from(SuspensionSource.OPERATOR)
+        if server not in suspensions:  # otherwise it is saved, and any process may resume it
+            self._unsaved[server] = self._clock.now_us()
         self._apply(suspensions)
 
     def resume(self, server: str) -> None:
@@ -90,6 +98,7 @@
             except SuspensionStoreError as error:
                 self._log.event("suspension_write_failed", error=str(error))
                 raise StillSuspendedError(str(error)) from error
+        self._unsaved.pop(server, None)
         self._apply(suspensions)
         if server in self._overrides.suspensions:
             raise StillSuspendedError("the maintenance has it out")
@@ -111,6 +120,7 @@
         self._apply(suspensions)
 
     def _apply(self, suspensions: Suspensions) -> None:
-        self._applier.apply(suspensions, SuspensionSource.OPERATOR)
+        """Apply the suspensions, and with them those that this process could not save."""
+        self._applier.apply({**self._unsaved, **suspensions}, SuspensionSource.OPERATOR)
         if self._store is not None:
             self._applied_version = self._store.version()
