A process reads every change that the other one makes to the suspensions

Cause: SuspensionService._apply noted the file's version after applying: what the other process wrote between this one's write or read and that moment counted as applied, unread. Evidence: suspensions_read never follows, while the file has both servers.

Change: only poll notes a version, one that it took before its read. A newer content is at worst read twice.

--- a/stoatgw/suspension/service.py
+++ b/stoatgw/suspension/service.py
@@ -122,5 +122,3 @@
     def _apply(self, suspensions: Suspensions) -> None:
         """Apply the suspensions, and with them those that this process could not save."""
         self._applier.apply({**self._unsaved, **suspensions}, SuspensionSource.OPERATOR)
-        if self._store is not None:
-            self._applied_version = self._store.version()
--- a/tests/proxy_rig.py
+++ b/tests/proxy_rig.py
@@ -80,11 +80,20 @@
 
     async def send_operation(self, port: int, path: str, method: str = "POST") -> int:
         """Send a request to the management address; return the status of its response."""
+        head, _, _ = (await self._call(port, path, method)).partition(b"\r\n")
+        return int(head.split()[1])
+
+    async def read_metrics(self, port: int) -> str:
+        """Return the metrics of a process, one on each line."""
+        _, _, body = (await self._call(port, "/v1/metrics", "GET")).partition(b"\r\n\r\n")
+        return body.decode()
+
+    async def _call(self, port: int, path: str, method: str) -> bytes:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(f"{method} {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
-        head = await reader.read()
+        response = await reader.read()
         writer.close()
-        return int(head.split()[1])
+        return response
 
     async def stop(self) -> None:
         """Shut all processes down gracefully, and wait for the last lines of their logs."""
--- a/tests/test_suspension_crossings.py
+++ b/tests/test_suspension_crossings.py
@@ -2,14 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
+import fcntl
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from stoatgw.suspension.applier import SuspensionApplier
 from stoatgw.suspension.service import SuspensionNotPersistedError
+from stoatgw.suspension.store import FILE_NAME, SuspensionStore
+from tests.proxy_rig import ProxyRig
 from tests.test_suspension import SuspendingProcess, with_event_loop
 
+CROSSED_CALLS = 8  # pairs of calls; without the fix one in five pairs or fewer is applied by both processes
+APPLY_TIMEOUT_S = 3.0  # the operators' grace for a draining server; a process polls the file every 0.2 s
+
 
 def suspended(process: SuspendingProcess) -> set[str]:
     """Return the servers that a process does not use after its next poll."""
@@ -36,3 +45,104 @@
     assert suspended(first) == {"s-1", "s-2"}
     first.service.resume("s-1")
     assert suspended(first) == {"s-2"}
+
+
+STEPS = [
+    (SuspensionStore, "version"),
+    (SuspensionStore, "load"),
+    (SuspensionStore, "suspend"),
+    (SuspensionStore, "resume"),
+    (SuspensionApplier, "apply"),
+]
+
+
+@pytest.mark.parametrize("is_before", [True, False])
+@pytest.mark.parametrize(("owner", "step"), STEPS)
+@pytest.mark.parametrize("crossing", ["suspend", "resume"])
+@pytest.mark.parametrize("change", ["suspend", "resume", "poll"])
+def test_a_change_of_another_process_between_two_steps_is_applied(
+    change: str, crossing: str, owner: type, step: str, is_before: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a process that takes another one's change to the file for applied without having read it.
+    @with_event_loop
+    def run(folder: Path, patches: pytest.MonkeyPatch) -> None:
+        first = SuspendingProcess(folder)
+        second = SuspendingProcess(folder)
+        for server in ("s-0", "s-2"):
+            second.service.suspend(server)
+        first.service.poll()
+        second.service.suspend("s-3")
+        remaining = ["s-2"] if crossing == "resume" else ["s-4"]
+        original = getattr(owner, step)
+
+        def cross() -> None:
+            if remaining:
+                getattr(second.service, crossing)(remaining.pop())
+
+        def crossed_step(target: Any, *arguments: Any, **options: Any) -> Any:
+            is_locked = step == "load" and change != "poll"  # the other process waits until the lock is released
+            is_first = target in (first.applier, first.service._store) and not is_locked
+            if is_first and is_before:
+                cross()
+            result = original(target, *arguments, **options)
+            if is_first and not is_before:
+                cross()
+            return result
+
+        patches.setattr(owner, step, crossed_step)
+        if change == "poll":
+            first.service.poll()
+        else:
+            getattr(first.service, change)("s-1" if change == "suspend" else "s-0")
+        patches.undo()
+        cross()  # where the change has no such step, the other one follows it
+        expected = {"s-0", "s-2", "s-3"}
+        expected = expected | {"s-1"} if change == "suspend" else expected
+        expected = expected - {"s-0"} if change == "resume" else expected
+        expected = expected - {"s-2"} if crossing == "resume" else expected | {"s-4"}
+        assert suspended(first) == expected
+        assert suspended(second) == expected
+
+    run(tmp_path, monkeypatch)
+
+
+class HealthyServersRig(ProxyRig):
+    """Session servers that answer health checks; the test sends no request."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await reader.readline():
+            writer.write(b"PONG\r\n")
+        writer.close()
+
+
+def test_two_servers_suspended_at_once_at_two_real_processes_stay_suspended_at_both(tmp_path: Path) -> None:
+    # Guards against review case 9: the lock makes both processes wait, so that one writes while the other applies.
+    async def run() -> None:
+        rig = HealthyServersRig(tmp_path)
+        await rig.start_services(["s-0", "s-1", "s-2"])
+        async with rig.running():
+            ports = [(await rig.start_process())[1] for _ in range(2)]
+            for _ in range(CROSSED_CALLS):
+                with (tmp_path / "tmp" / f"{FILE_NAME}.lock").open("w") as lock:
+                    fcntl.flock(lock, fcntl.LOCK_EX)
+                    calls = [
+                        asyncio.create_task(rig.send_operation(port, f"/v1/session-servers/{server}/suspend"))
+                        for port, server in zip(ports, ("s-0", "s-2"), strict=True)
+                    ]
+                    await asyncio.sleep(0.03)
+                assert await asyncio.gather(*calls) == [200, 200]
+                for port in ports:
+                    await wait_for_suspensions(rig, port, 2)
+                for server in ("s-0", "s-2"):
+                    assert await rig.send_operation(ports[0], f"/v1/session-servers/{server}/resume") == 200
+                for port in ports:
+                    await wait_for_suspensions(rig, port, 0)
+
+    asyncio.run(run())
+
+
+async def wait_for_suspensions(rig: ProxyRig, port: int, count: int) -> None:
+    """Wait until a process uses all servers but this many; it polls the file five times a second."""
+    async with asyncio.timeout(APPLY_TIMEOUT_S):
+        while f"proxy.targets_disabled:{count}|g" not in await rig.read_metrics(port):
+            await asyncio.sleep(0.02)
