A change whose reading failed once is read at the next poll

Seen by callers: none in service; forced in tests, a process that could not open stoatgw-suspended once (EMFILE) went on using the server that its sibling had taken out, and one that could not open stoatgw-endpoints missed the sibling's list.

Cause: SuspensionService.poll and EndpointListStore._load noted the file's version before the read, also where it failed.

Change: the version is noted after the read; the failure is logged once while it lasts.

Measured: both tests fail on the code before and pass now.

--- a/stoatgw/discovery/stored_list.py
+++ b/stoatgw/discovery/stored_list.py
@@ -184,12 +184,14 @@
         self._is_snapshot_unwritten = False
 
     def _load(self) -> StoredList | None:
-        self._loaded_version = self._file.version()
+        version = self._file.version()
         try:
-            return self._file.load()
-        except (OSError, ValueError) as error:
+            stored = self._file.load()
+        except (OSError, ValueError) as error:  # the file is read again at the next poll
             self._log_once("endpoint_list_read_failed", error)
             return None
+        self._loaded_version = version
+        return stored
 
     def _apply(self, page: dict[str, Any], *, is_snapshot: bool) -> bool:
         """Apply a page to the list; return whether it has to be stored without delay."""
--- a/stoatgw/suspension/service.py
+++ b/stoatgw/suspension/service.py
@@ -44,7 +44,8 @@
         self._publisher = publisher
         self._clock = clock
         self._log = log
-        self._applied_version: FileVersion | None = None
+        self._applied_version: FileVersion | None = None  # taken before the read; only `poll` sets it
+        self._last_read_failure = ""
         self._unsaved: dict[str, int] = {}  # suspensions that could not be saved: they apply to this process alone
 
     def start(self) -> None:
@@ -110,14 +111,21 @@
         version = self._store.version()
         if version == self._applied_version:
             return
-        self._applied_version = version
         try:
             suspensions = self._store.load()
         except SuspensionStoreError as error:  # servers suspended in this process stay suspended
-            self._log.event("suspension_read_failed", error=str(error))
+            self._log_read_failure(error)
             return
+        self._last_read_failure = ""
         self._log.event("suspensions_read", backends=sorted(suspensions))
         self._apply(suspensions)
+        self._applied_version = version
+
+    def _log_read_failure(self, error: SuspensionStoreError) -> None:
+        """Log a failure that recurs at each poll only once while it lasts."""
+        if self._last_read_failure != str(error):
+            self._last_read_failure = str(error)
+            self._log.event("suspension_read_failed", error=str(error))
 
     def _apply(self, suspensions: Suspensions) -> None:
         """Apply the suspensions, and with them those that this process could not save."""
--- a/tests/test_suspension_crossings.py
+++ b/tests/test_suspension_crossings.py
@@ -14,6 +14,8 @@
 from stoatgw.suspension.service import SuspensionNotPersistedError
 from stoatgw.suspension.store import FILE_NAME, SuspensionStore
 from tests.proxy_rig import ProxyRig
+from tests.test_discovery import entry, page
+from tests.test_stored_endpoints import make_store, store_pages
 from tests.test_suspension import SuspendingProcess, with_event_loop
 
 CROSSED_CALLS = 8  # pairs of calls; without the fix one in five pairs or fewer is applied by both processes
@@ -26,6 +28,10 @@
     return set(process.applier.overrides.suspensions)
 
 
+def fail_without_descriptor(self: Path, mode: str) -> None:
+    raise OSError(errno.EMFILE, "Too many open files")
+
+
 def fail_with_disk_full(self: Path, data: bytes) -> int:
     raise OSError(errno.ENOSPC, "No space left on device")
 
@@ -47,6 +53,34 @@
     assert suspended(first) == {"s-2"}
 
 
+@with_event_loop
+def test_a_change_whose_reading_failed_once_is_read_at_the_next_poll(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a process without a free descriptor, or on a failing disk, that never reads the change again.
+    first = SuspendingProcess(tmp_path)
+    second = SuspendingProcess(tmp_path)
+    second.service.suspend("s-1")
+    with monkeypatch.context() as patch:
+        patch.setattr(Path, "open", fail_without_descriptor)
+        assert suspended(first) == set()
+    assert suspended(first) == {"s-1"}
+
+
+@with_event_loop
+def test_an_endpoint_list_whose_reading_failed_once_is_read_at_the_next_poll(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against a new process that misses, while discovery is down, what the old one was told.
+    new = make_store(tmp_path)
+    assert new.load_changed(None) is None
+    store_pages(tmp_path, page(entry()))
+    with monkeypatch.context() as patch:
+        patch.setattr(Path, "open", fail_without_descriptor)
+        assert new.load_changed(None) is None
+    assert new.load_changed(None)["generation"] == 41
+
+
 STEPS = [
     (SuspensionStore, "version"),
     (SuspensionStore, "load"),
@@ -57,11 +91,16 @@
 
 
 @pytest.mark.parametrize("is_before", [True, False])
-@pytest.mark.parametrize(("owner", "step"), STEPS)
+@pytest.mark.parametrize("step", STEPS)
 @pytest.mark.parametrize("crossing", ["suspend", "resume"])
 @pytest.mark.parametrize("change", ["suspend", "resume", "poll"])
 def test_a_change_of_another_process_between_two_steps_is_applied(
-    change: str, crossing: str, owner: type, step: str, is_before: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    change: str,
+    crossing: str,
+    step: tuple[type, str],
+    is_before: bool,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Guards against a process that takes another one's change to the file for applied without having read it.
     @with_event_loop
@@ -73,14 +112,15 @@
         first.service.poll()
         second.service.suspend("s-3")
         remaining = ["s-2"] if crossing == "resume" else ["s-4"]
-        original = getattr(owner, step)
+        owner, name = step
+        original = getattr(owner, name)
 
         def cross() -> None:
             if remaining:
                 getattr(second.service, crossing)(remaining.pop())
 
         def crossed_step(target: Any, *arguments: Any, **options: Any) -> Any:
-            is_locked = step == "load" and change != "poll"  # the other process waits until the lock is released
+            is_locked = name == "load" and change != "poll"  # the other process waits until the lock is released
             is_first = target in (first.applier, first.service._store) and not is_locked
             if is_first and is_before:
                 cross()
@@ -89,7 +129,7 @@
                 cross()
             return result
 
-        patches.setattr(owner, step, crossed_step)
+        patches.setattr(owner, name, crossed_step)
         if change == "poll":
             first.service.poll()
         else:
