A process that stands still in a write of the suspensions does not stop the other one

Seen by callers: none in service. In a test the call out did not return while another holder kept the lock: in the real program the event loop waits there, with all clients.

Cause: SuspensionStore locked its file without a limit.

Change: at most 0.25 s are waited, in steps of 1 ms; then the call is answered 500 as when the file can't be written.

--- a/stoatgw/suspension/store.py
+++ b/stoatgw/suspension/store.py
@@ -4,6 +4,7 @@
 
 import fcntl
 import os
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -16,6 +17,8 @@
 FILE_NAME = "stoatgw-suspended"
 HEADER = b"stoatgw-suspended 1 "  # the file's kind and version, followed by the checksum of the body
 MAX_FILE_BYTES = 1 << 20
+LOCK_TIMEOUT_S = 0.25  # longer than a process may be held up between two steps
+LOCK_RETRY_INTERVAL_S = 0.001
 
 
 class SuspensionStoreError(Exception):
@@ -101,18 +104,33 @@
     def _locked_update(self) -> Iterator[dict[str, int]]:
         """Load all suspensions under a lock and write them back after the block.
 
-        Other processes wait only for that one small write.
+        Other processes wait only for that one small write, and not for a process that stands still in it.
         """
         try:
             lock = os.open(self._lock_path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         except OSError as error:
             raise SuspensionStoreError(self._lock_path.name, str(error.strerror)) from error
         with closing_descriptor(lock):
-            fcntl.flock(lock, fcntl.LOCK_EX)
+            self._acquire(lock)
             suspensions = self.load()
             yield suspensions
             self._write(suspensions)
 
+    def _acquire(self, lock: int) -> None:
+        """Lock the file; the event loop waits meanwhile, so that the wait is short."""
+        waited_s = 0.0
+        while True:
+            try:
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except BlockingIOError:
+                if waited_s >= LOCK_TIMEOUT_S:
+                    reason = "another process does not release its lock"
+                    raise SuspensionStoreError(self._lock_path.name, reason) from None
+                time.sleep(LOCK_RETRY_INTERVAL_S)
+                waited_s += LOCK_RETRY_INTERVAL_S
+            else:
+                return
+
     def _write(self, suspensions: Suspensions) -> None:
         try:
             write_atomically(self._path, encode(suspensions))
