--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+import tracemalloc
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 from typing import Any
@@ -14,7 +15,7 @@
 
 from stoatgw.backends.backend import BackendRegistry, ListedEndpoint
 from stoatgw.backends.health_check import HealthChecker, LoadReportSchema
-from stoatgw.backends.latency import MessageLatencyTracker, current_latency_ms
+from stoatgw.backends.latency import MAX_PENDING_LINES, MessageLatencyTracker, current_latency_ms
 from stoatgw.clients.context import EstablishedSession, ProxyContext
 from stoatgw.clients.descriptor_limiter import DescriptorLimiter
 from stoatgw.clients.listener import Listener
@@ -348,6 +349,22 @@
     assert columns.to_row({"x0": 0.5, "inflight": 7, "odd": 1}) == (None, 7, 0.5)
 
 
+def test_unanswered_lines_are_not_kept_in_memory() -> None:
+    # Guards against a process that exceeds its memory limit while a session server replies nothing to long lines.
+    trackers = [MessageLatencyTracker() for _ in range(100)]
+    tracemalloc.start()
+    try:
+        for tracker in trackers:
+            for number in range(MAX_PENDING_LINES):
+                tracker.record_sent([b"%04000d" % number], 1)
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert kept_bytes < len(trackers) * MAX_PENDING_LINES * 400
+    trackers[0].record_reply(b"%04000d" % (MAX_PENDING_LINES - 2), 2)
+    assert len(trackers[0].pending) == 1
+
+
 def test_message_latency_is_that_of_the_last_reply_or_the_age_of_an_overdue_line() -> None:
     one, two = MessageLatencyTracker(), MessageLatencyTracker()
     one.record_sent([b"a"], 1_000_000)
