One client's thousands of short lines do not delay the answers of others

Cause: Relay parsed each line of a read into an object, searched it among unanswered lines, and posted each LOAD line to the controller, in one step of the event loop. Ruled out by runs: PINGs, unsound first lines, ever new names.

Change: only the keyword of each line is looked up, and of several LOAD lines in one read the last is reported.

--- a/stoatgw/clients/relay.py
+++ b/stoatgw/clients/relay.py
@@ -14,7 +14,7 @@
 from stoatgw.clients.session_state import EndReason, SessionEnd
 from stoatgw.controller.messages import AttemptEnd, RequestState, SessionMetricObserved
 from stoatgw.controller.reasons import MigrationReason
-from stoatgw.line_protocol.grammar import MOVE, Keyword, encode_error, parse_number, parse_reply
+from stoatgw.line_protocol.grammar import MOVE, Keyword, encode_error, parse_keyword, parse_number, parse_reply
 from stoatgw.line_protocol.splitter import LineAligner, split_lines
 from stoatgw.sockets import socket_state, tcp
 from stoatgw.telemetry.metrics import RequestOutcome
@@ -137,15 +137,18 @@
         return self._send_to_client(lines)
 
     def _observe_server_lines(self, lines: list[bytes]) -> None:
+        """Observe the lines of one read, which may be thousands: of several loads only the last is reported."""
         now_us = self._context.clock.now_us()
         self._context.counters.add("lines_from_servers", len(lines))
+        load_line = b""
         for line in lines:
-            reply = parse_reply(line)
-            self.last_keyword = reply.keyword
-            if reply.keyword is Keyword.LOAD:
-                self._report_load(reply.fields)
-            elif reply.keyword not in UNSOLICITED_KEYWORDS:
+            keyword = self.last_keyword = parse_keyword(line)
+            if keyword is Keyword.LOAD:
+                load_line = line
+            elif self._latency.pending and keyword not in UNSOLICITED_KEYWORDS:
                 self._latency.record_reply(line, now_us)
+        if load_line:
+            self._report_load(parse_reply(load_line).fields)
 
     def _report_load(self, fields: str) -> None:
         value = parse_number(fields)
--- a/stoatgw/line_protocol/grammar.py
+++ b/stoatgw/line_protocol/grammar.py
@@ -178,8 +178,12 @@
 
 def parse_reply(line: bytes) -> Reply:
     """Parse a session server's line without its CRLF; one without a keyword is `Keyword.OTHER`."""
-    word, _, rest = line.partition(b" ")
-    return Reply(_KEYWORDS.get(word, Keyword.OTHER), rest.decode("ascii", "replace"))
+    return Reply(parse_keyword(line), line.partition(b" ")[2].decode("ascii", "replace"))
+
+
+def parse_keyword(line: bytes) -> Keyword:
+    """Return the keyword of a session server's line without its CRLF."""
+    return _KEYWORDS.get(line.partition(b" ")[0], Keyword.OTHER)
 
 
 def parse_load_report(text: str) -> dict[str, float]:
--- a/tests/pressure.py
+++ b/tests/pressure.py
@@ -47,6 +47,7 @@
         self.unanswered = 0
         self.rejected = 0
         self.answered = 0
+        self.requested = 0
         self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -144,6 +145,7 @@
     async def _usual_request(self) -> None:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        self.requested += 1
         answer = b""
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -380,7 +382,7 @@
             return (
                 f"{name:22} {memory_mb} MB {sockets:4}: memory {started_mb:.1f} to {proxy.memory_mb():.1f} MB, "
                 f"worst answer {proxy.worst_answer_s:.2f} s, worst echo {proxy.worst_echo_s:.2f} s, "
-                f"answers: {proxy.answered} UP {proxy.rejected} BUSY {proxy.unanswered} none, "
+                f"{proxy.requested} requests: {proxy.answered} UP {proxy.rejected} BUSY {proxy.unanswered} none, "
                 f"ids run {len(proxy.executions)}, twice {twice}, alive {proxy.process.returncode is None}"
             )
         finally:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -16,6 +16,7 @@
 from stoatgw.backends.backend import BackendRegistry, ListedEndpoint
 from stoatgw.backends.health_check import HealthChecker, LoadReportSchema
 from stoatgw.backends.latency import MAX_PENDING_LINES, MessageLatencyTracker, current_latency_ms
+from stoatgw.clients import relay as relay_module
 from stoatgw.clients.context import EstablishedSession, ProxyContext
 from stoatgw.clients.descriptor_limiter import DescriptorLimiter
 from stoatgw.clients.listener import Listener
@@ -36,6 +37,7 @@
     SessionMetricObserved,
 )
 from stoatgw.decisions.interface import Endpoint, EndpointUpdate, EndpointUpdateKind, Request, SessionMetricKind
+from stoatgw.line_protocol.grammar import Keyword, Reply, parse_reply
 from stoatgw.telemetry.counters import Counters
 from stoatgw.telemetry.log import EventLog, RateLimitedLog
 from tests.test_discovery import CONFIG
@@ -447,6 +449,36 @@
     run_loopback(serve, test)
 
 
+def test_of_thousands_of_lines_in_one_read_few_are_parsed_and_one_load_is_reported(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against one client that delays the answers of all others with lines that its server echoes.
+    parsed: list[bytes] = []
+
+    def parse(line: bytes) -> Reply:
+        parsed.append(line)
+        return parse_reply(line)
+
+    async def test(proxy: LoopbackProxy) -> None:
+        posted: list[Message] = []
+        reader, writer = await proxy.open_session()
+        await reader.readline()
+        await asyncio.sleep(0.05)
+        relay = next(iter(proxy.context.established_sessions.values())).relay
+        assert isinstance(relay, Relay)
+        monkeypatch.setattr(relay_module, "parse_reply", parse)
+        monkeypatch.setattr(proxy.controller, "post", posted.append)
+        relay._observe_server_lines([b"", b"LOAD 1", b"x"] * 2000 + [b"LOAD 2", b"BYE"])
+        assert parsed == [b"LOAD 2"]
+        assert [each.value for each in posted if isinstance(each, SessionMetricObserved)] == [2.0]
+        assert relay.last_keyword is Keyword.BYE
+        monkeypatch.undo()
+        writer.close()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_echo, test)
+
+
 def test_the_policy_gets_the_tenant_of_a_request_and_an_unnamed_tenant_uses_no_quota() -> None:
     # Guards against counting all clients as the first tenant: with quotas, each proxy rated nearly all as worthless.
     async def test(proxy: LoopbackProxy) -> None:
