--- a/stoatgw/hot_restart/shared_request_ids.py
+++ b/stoatgw/hot_restart/shared_request_ids.py
@@ -23,6 +23,7 @@
 RECORD_BYTES = 26  # the id, a space, the process's tag in hex, and the end of the line
 KEPT_BYTES = MAX_ENDED_IDS * RECORD_BYTES
 MAX_FILE_BYTES = 2 * KEPT_BYTES
+MAX_APPEND_ATTEMPTS = 3  # a file system may give an open file and its path different inode numbers
 _RECORD = re.compile(rb"([0-9a-fA-F]{16}) ([0-9a-f]{8})\n")  # found also behind a record that was cut off
 
 
@@ -81,7 +82,7 @@
 
     def _append(self, record: bytes) -> None:
         """Append a record to the current file, and read what other processes have appended before it."""
-        while True:
+        for _ in range(MAX_APPEND_ATTEMPTS):
             descriptor = self._open()
             if os.write(descriptor, record) != len(record):
                 raise OSError(errno.ENOSPC, "a record was cut off")
@@ -89,6 +90,7 @@
             if self._is_current():
                 return
             self.close()  # another process has replaced the file since
+        raise OSError(errno.ESTALE, "the file is replaced again and again")
 
     def _is_current(self) -> bool:
         try:
--- a/tests/pressure.py
+++ b/tests/pressure.py
@@ -1,12 +1,14 @@
 """Play misbehaving clients against a real proxy process, and measure its memory and what other clients notice.
 
-`python -m tests.pressure`, or with names of `PRESSURES`: a line for each, with the proxy's peak memory, the longest
-time until another client's answer and until an echo on an open session, and how often an id was executed twice.
+`python -m tests.pressure [--seconds 5] [NAME...]`, with names of `PRESSURES`, prints a line for each: the proxy's peak
+memory, the longest time until another client's answer and until an echo on an open session, and how often an id was
+executed twice.
 Started by hand: the figures depend on the machine.
 """
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import contextlib
 import json
@@ -22,7 +24,7 @@
 from tests.test_discovery import entry, page
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-DURATION_S = 5.0
+DEFAULT_DURATION_S = 5.0
 USUAL_SESSIONS = 10
 ECHO_INTERVAL_S = 0.05
 ANSWER_INTERVAL_S = 0.05
@@ -32,10 +34,11 @@
 class PressedProxy:
     """One proxy process with small limits, a session server that echoes, and usual clients beside the others."""
 
-    def __init__(self, folder: Path, memory_mb: int, sockets: int) -> None:
+    def __init__(self, folder: Path, memory_mb: int, sockets: int, duration_s: float) -> None:
         self._folder = folder
         self._limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
         self._max_descriptors = sockets
+        self.duration_s = duration_s
         self.address = ("127.0.0.1", free_port())
         self.last_id = 0
         self.is_server_reading = True
@@ -98,7 +101,7 @@
                 if is_usual or self.is_server_replying:
                     writer.write(data)
                     await writer.drain()
-            await asyncio.sleep(DURATION_S)
+            await asyncio.sleep(self.duration_s)
         writer.close()
 
     # Clients.
@@ -186,20 +189,20 @@
 
 async def calm(proxy: PressedProxy) -> None:
     """Nothing but the usual clients."""
-    await asyncio.sleep(DURATION_S)
+    await asyncio.sleep(proxy.duration_s)
 
 
-async def repeat(count: int, client: Callable[[], Awaitable[None]]) -> None:
+async def repeat(proxy: PressedProxy, count: int, client: Callable[[], Awaitable[None]], pause_s: float = 0.01) -> None:
     """Run as many clients at once; each begins anew when it has ended."""
 
     async def run() -> None:
         while True:
             with contextlib.suppress(OSError, asyncio.LimitOverrunError):
                 await client()
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(pause_s)
 
     tasks = [asyncio.create_task(run()) for _ in range(count)]
-    await asyncio.sleep(DURATION_S)
+    await asyncio.sleep(proxy.duration_s)
     for task in tasks:
         task.cancel()
 
@@ -214,7 +217,7 @@
             await asyncio.sleep(0.02)
         writer.close()
 
-    await repeat(300, client)
+    await repeat(proxy, 300, client)
 
 
 async def half_heads(proxy: PressedProxy) -> None:
@@ -226,7 +229,7 @@
         await reader.read()
         writer.close()
 
-    await repeat(300, client)
+    await repeat(proxy, 300, client)
 
 
 async def half_megabytes(proxy: PressedProxy) -> None:
@@ -238,7 +241,7 @@
         await reader.read()
         writer.close()
 
-    await repeat(300, client)
+    await repeat(proxy, 300, client)
 
 
 async def many_fields(proxy: PressedProxy) -> None:
@@ -249,7 +252,7 @@
         await reader.read()
         writer.close()
 
-    await repeat(300, client)
+    await repeat(proxy, 300, client)
 
 
 async def half_lines_after_up(proxy: PressedProxy) -> None:
@@ -261,7 +264,7 @@
         await reader.read()
         writer.close()
 
-    await repeat(300, client)
+    await repeat(proxy, 300, client)
 
 
 async def unread_by_server(proxy: PressedProxy) -> None:
@@ -286,7 +289,7 @@
             await asyncio.sleep(pause_s)
         writer.close()
 
-    await repeat(count, client)
+    await repeat(proxy, count, client)
 
 
 async def unread_by_client(proxy: PressedProxy) -> None:
@@ -295,14 +298,14 @@
     async def client() -> None:
         _, writer = await proxy.open_session()
         writer.transport.pause_reading()  # type: ignore[attr-defined]
-        async with asyncio.timeout(DURATION_S):
+        async with asyncio.timeout(proxy.duration_s):
             while True:
                 writer.write(b"x" * 2000 + b"\r\n")
                 await writer.drain()
                 await asyncio.sleep(0.01)
 
     with contextlib.suppress(TimeoutError):
-        await repeat(300, client)
+        await repeat(proxy, 300, client)
 
 
 def flood(data: bytes, *, after_up: bool) -> Pressure:
@@ -318,7 +321,7 @@
                 await asyncio.sleep(0)
             writer.close()
 
-        await repeat(1, client)
+        await repeat(proxy, 1, client)
 
     return press
 
@@ -338,7 +341,7 @@
             await reader.readline()
             writer.close()
 
-        await repeat(4, client)
+        await repeat(proxy, 8, client, pause_s=0.0)
 
     return press
 
@@ -372,10 +375,10 @@
 }
 
 
-async def measure(name: str, memory_mb: int, sockets: int) -> str:
+async def measure(name: str, memory_mb: int, sockets: int, duration_s: float) -> str:
     """Play one pressure and return its line of figures."""
     with tempfile.TemporaryDirectory() as folder:
-        proxy = PressedProxy(Path(folder), memory_mb, sockets)
+        proxy = PressedProxy(Path(folder), memory_mb, sockets, duration_s)
         await proxy.start()
         started_mb = proxy.memory_mb("VmRSS")
         try:
@@ -400,9 +403,13 @@
 
 def main() -> None:
     """Measure the named pressures, or all of them, with the smallest and the largest limits."""
-    for name in sys.argv[1:] or PRESSURES:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=float, default=DEFAULT_DURATION_S, help="how long each pressure lasts")
+    parser.add_argument("names", nargs="*", default=list(PRESSURES), help="which pressures; all without names")
+    arguments = parser.parse_args()
+    for name in arguments.names:
         for memory_mb, sockets in ((32, 256), (192, 1024)):
-            print(asyncio.run(measure(name, memory_mb, sockets)), flush=True)
+            print(asyncio.run(measure(name, memory_mb, sockets, arguments.seconds)), flush=True)
 
 
 if __name__ == "__main__":
