A process that yields in the iteration of an accept leaves what is pending to the other one

Found on rereading.

Change: pending connections are accepted only while this process accepts.

Measured: the test fails before and passes now (one of five is accepted).

--- a/stoatgw/clients/listener.py
+++ b/stoatgw/clients/listener.py
@@ -87,7 +87,8 @@
                 await asyncio.sleep(tcp.ACCEPT_RETRY_INTERVAL_S)
                 continue
             self._start_session(self._accept_task.result())
-            self._accept_pending(self._sock)
+            if self._is_accepting.is_set():  # not if another process has taken over in the same iteration
+                self._accept_pending(self._sock)
 
     def _accept_pending(self, listener: socket.socket) -> None:
         """Accept what else is pending: each wait takes several iterations of the event loop, which may be loaded."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -503,6 +503,29 @@
     run_loopback(serve_echo, test)
 
 
+def test_pending_connections_are_left_to_a_process_that_has_taken_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a process that yields in the very iteration in which it accepts, and takes all that is pending.
+    async def test(proxy: LoopbackProxy) -> None:
+        start_session = proxy.listener._start_session
+
+        def yield_and_start(sock: socket.socket) -> None:
+            proxy.listener.set_accepting(False)
+            start_session(sock)
+
+        monkeypatch.setattr(proxy.listener, "_start_session", yield_and_start)
+        clients = [socket.create_connection(("127.0.0.1", proxy.port)) for _ in range(5)]
+        while not proxy.listener.open_connections:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+        assert proxy.listener.open_connections == 1
+        for client in clients:
+            client.close()
+        monkeypatch.undo()
+        await proxy.wait_until_idle()
+
+    run_loopback(serve_echo, test)
+
+
 def test_the_policy_gets_the_tenant_of_a_request_and_an_unnamed_tenant_uses_no_quota() -> None:
     # Guards against counting all clients as the first tenant: with quotas, each proxy rated nearly all as worthless.
     async def test(proxy: LoopbackProxy) -> None:
