--- a/tests/pressure.py
+++ b/tests/pressure.py
@@ -20,6 +20,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from stoatgw.clients.recent_ids import MAX_ENDED_IDS
 from tests.proxy_process import free_port, start_discovery, write_config
 from tests.test_discovery import entry, page
 
@@ -39,6 +40,7 @@
         self._limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
         self._max_descriptors = sockets
         self.duration_s = duration_s
+        self.server_linger_s = duration_s  # how long the server leaves a connection open that its client has ended
         self.address = ("127.0.0.1", free_port())
         self.last_id = 0
         self.is_server_reading = True
@@ -101,7 +103,7 @@
                 if is_usual or self.is_server_replying:
                     writer.write(data)
                     await writer.drain()
-            await asyncio.sleep(self.duration_s)
+            await asyncio.sleep(self.server_linger_s)
         writer.close()
 
     # Clients.
@@ -355,6 +357,28 @@
     return proxy.open_line().replace(b"c=chat", b"c=class%d" % proxy.last_id)
 
 
+async def forgotten_ids(proxy: PressedProxy) -> None:
+    """40 ids that come again after more other ones than a process remembers; ends when they have come again."""
+    proxy.server_linger_s = 0.0
+
+    async def request(line: bytes) -> None:
+        reader, writer = await proxy.connect()
+        writer.write(line)
+        await reader.readline()
+        writer.close()
+
+    lines = [proxy.open_line() for _ in range(40)]
+    for line in lines:
+        await request(line)
+    first_id = proxy.last_id
+    while proxy.last_id < first_id + MAX_ENDED_IDS + 1000:
+        await asyncio.gather(*(request(proxy.open_line()) for _ in range(16)))
+    await asyncio.sleep(3.0)  # until the descriptors of the last ones are free
+    for line in lines:
+        await request(line)
+        await asyncio.sleep(0.05)
+
+
 PRESSURES: dict[str, Pressure] = {
     "calm": calm,
     "slow_heads": slow_heads,
@@ -372,6 +396,7 @@
     "flood_load_lines": flood(b"LOAD 1\r\n" * 1000, after_up=True),
     "new_names": new_names(named_line),
     "new_classes": new_names(unknown_class),
+    "forgotten_ids": forgotten_ids,
 }
 
 
